--- a/bench/config.cc
+++ b/bench/config.cc
@@ -5,13 +5,13 @@
 #include <string>
 
 #include "core/config/config_cmd.h"
-#include "platform/config_codec.h"
+#include "objectapi/config_codec.h"
 
 namespace {
 
 namespace base = dogwoodrail::core::base;
 namespace config = dogwoodrail::core::config;
-namespace platform = dogwoodrail::platform;
+namespace objectapi = dogwoodrail::objectapi;
 using Clock = std::chrono::steady_clock;
 
 constexpr int kLookups = 200'000;
@@ -81,9 +81,9 @@
   });
   config::Ticket last = small;
   last.number = base::TicketNumber(1);
-  const std::string head = platform::EncodeHead({state, last});
+  const std::string head = objectapi::EncodeHead({state, last});
   const double decode = Nanoseconds(
-      3, [&](int /*it*/) { found += platform::DecodeHead(head).has_value(); });
+      3, [&](int /*it*/) { found += objectapi::DecodeHead(head).has_value(); });
   std::printf("%8d %8d %10.0f %10.0f %12.3f %12.3f %12zu\n", routes, keys,
               match, key, apply / 1e6, decode / 1e6, head.size());
   if (found == 0) std::printf("nothing found\n");
--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -12,8 +12,16 @@
 dogwoodrail_layer(core)
 dogwoodrail_layer(wire dogwoodrail_core Threads::Threads)
 dogwoodrail_layer(json dogwoodrail_core cxxtools-json cxxtools)
-dogwoodrail_layer(platform dogwoodrail_json cxxtools-http cxxtools Threads::Threads)
+dogwoodrail_layer(objectapi dogwoodrail_json cxxtools-http cxxtools Threads::Threads)
 dogwoodrail_layer(http dogwoodrail_json cxxtools-http cxxtools Threads::Threads)
-dogwoodrail_layer(node dogwoodrail_core dogwoodrail_wire dogwoodrail_platform
+dogwoodrail_layer(node dogwoodrail_core dogwoodrail_wire dogwoodrail_objectapi
                   dogwoodrail_http spdlog::spdlog OpenSSL::Crypto)
-dogwoodrail_layer(command dogwoodrail_node dogwoodrail_platform gflags)
+dogwoodrail_layer(command dogwoodrail_node dogwoodrail_objectapi gflags)
+
+# The adapter to the platform: names, formats and calls.
+find_package(nlohmann_json REQUIRED)
+file(GLOB platform_sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/platform/*.cc)
+add_library(dogwoodrail_platform STATIC ${platform_sources})
+target_include_directories(dogwoodrail_platform PUBLIC ${PROJECT_SOURCE_DIR})
+target_link_libraries(dogwoodrail_platform PUBLIC dogwoodrail_node
+                      nlohmann_json::nlohmann_json)
--- a/src/command/command_func.cc
+++ b/src/command/command_func.cc
@@ -5,7 +5,6 @@
 #include "command/exit_code.h"
 #include "core/base/event_table.h"
 #include "json/json_writer.h"
-#include "node/run_node.h"
 #include "node/settings_load.h"
 #include "node/settings_table.h"
 
@@ -55,7 +54,7 @@
     }
     return kExitBadInput;
   }
-  if (!flags.check) return node::RunNode(*settings);
+  if (!flags.check) return flags.run_node(*settings);
   std::cout << flags.settings << ": ok\n";
   return kExitOk;
 }
--- a/src/command/command_func.h
+++ b/src/command/command_func.h
@@ -1,10 +1,12 @@
 #ifndef DOGWOODRAIL_COMMAND_COMMAND_FUNC_H_
 #define DOGWOODRAIL_COMMAND_COMMAND_FUNC_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
 #include "core/base/error_type.h"
+#include "node/settings_type.h"
 
 namespace dogwoodrail::command {
 
@@ -20,6 +22,8 @@
   bool check = false;
   bool json = false;
   bool markdown = false;
+  // Runs a node on the system that its settings name.
+  std::function<int(const node::Settings&)> run_node;
 };
 
 // Runs the command that the words name; returns the exit code.
--- a/src/command/fleet_cmd.cc
+++ b/src/command/fleet_cmd.cc
@@ -10,7 +10,7 @@
 #include "json/json_reader.h"
 #include "json/json_writer.h"
 #include "node/timeline_codec.h"
-#include "platform/http_exchange.h"
+#include "objectapi/http_exchange.h"
 #include "wire/address_func.h"
 
 namespace dogwoodrail::command {
@@ -38,11 +38,11 @@
     return MakeError(ErrorCode::kInvalidArgument,
                      "--nodes: '" + address + "' is not IP:port");
   }
-  platform::HttpCall call;
+  objectapi::HttpCall call;
   call.path = path;
   call.query = query;
   const auto answer =
-      platform::ExchangeOnce(endpoint->ip, endpoint->port, call, kNodeTimeout);
+      objectapi::ExchangeOnce(endpoint->ip, endpoint->port, call, kNodeTimeout);
   if (!answer) {
     return MakeError(ErrorCode::kUnavailable,
                      address + ": " + answer.error().detail);
--- a/src/command/ticket_cmd.cc
+++ b/src/command/ticket_cmd.cc
@@ -10,8 +10,8 @@
 #include "json/json_writer.h"
 #include "node/event_log.h"
 #include "node/secret_func.h"
-#include "platform/config_store.h"
-#include "platform/http_object_store.h"
+#include "objectapi/config_store.h"
+#include "objectapi/http_object_store.h"
 #include "wire/address_func.h"
 
 namespace dogwoodrail::command {
@@ -27,16 +27,16 @@
 constexpr std::size_t kKeyBytes = 32;
 constexpr const char* kKeyPrefix = "dwr_";
 
-Result<platform::HttpObjectStore> OpenObjects(const CommandFlags& flags) {
+Result<objectapi::HttpObjectStore> OpenObjects(const CommandFlags& flags) {
   const auto address = wire::ParseIpPort(flags.platform);
   if (!address) {
     return MakeError(ErrorCode::kInvalidArgument,
                      "--platform must be the IP:port of the Object API");
   }
-  platform::HttpObjectStoreOptions options;
+  objectapi::HttpObjectStoreOptions options;
   options.ip = address->ip;
   options.port = address->port;
-  return platform::HttpObjectStore(options);
+  return objectapi::HttpObjectStore(options);
 }
 
 std::string AuthorOf(const CommandFlags& flags) {
@@ -53,7 +53,7 @@
   if (!in) {
     return MakeError(ErrorCode::kInvalidArgument, file + ": cannot be read");
   }
-  auto ticket = platform::DecodeTicketFile(text.str());
+  auto ticket = objectapi::DecodeTicketFile(text.str());
   if (!ticket) {
     return MakeError(ErrorCode::kInvalidArgument,
                      file + ": " + ticket.error().detail);
@@ -87,7 +87,7 @@
   if (!ticket) return PrintError(ticket.error());
   auto objects = OpenObjects(flags);
   if (!objects) return PrintError(objects.error());
-  platform::ConfigStore store(*objects);
+  objectapi::ConfigStore store(*objects);
   const auto number =
       flags.check ? store.CheckTicket(*ticket) : store.SubmitTicket(*ticket);
   if (!number) return PrintError(number.error());
@@ -105,17 +105,17 @@
   }
   auto objects = OpenObjects(flags);
   if (!objects) return PrintError(objects.error());
-  platform::ConfigStore store(*objects);
+  objectapi::ConfigStore store(*objects);
   const auto ticket = store.ReadTicket(TicketNumber(n));
   if (!ticket) return PrintError(ticket.error());
-  std::cout << platform::EncodeTicket(*ticket, !flags.json) << "\n";
+  std::cout << objectapi::EncodeTicket(*ticket, !flags.json) << "\n";
   return kExitOk;
 }
 
 int ListTicketsCommand(const CommandFlags& flags) {
   auto objects = OpenObjects(flags);
   if (!objects) return PrintError(objects.error());
-  platform::ConfigStore store(*objects);
+  objectapi::ConfigStore store(*objects);
   const auto numbers = store.ListTickets();
   if (!numbers) return PrintError(numbers.error());
   json::JsonNode node = json::MakeObject();
--- a/src/core/admission/concurrency_limit.cc
+++ b/src/core/admission/concurrency_limit.cc
@@ -117,7 +117,12 @@
 }
 
 void ConcurrencyLimit::OnLoadReport(std::uint32_t slots, base::TimePoint now) {
-  if (slots == 0 || !settings_.learn || reported_slots_ == slots) return;
+  if (slots == 0 || reported_slots_ == slots) return;
+  if (!settings_.learn) {
+    reported_slots_ = slots;
+    limit_ = std::min<double>(slots, settings_.max_limit);
+    return;
+  }
   reported_slots_ = slots;
   // A wrong report must not leave less than a cold start has.
   const double wanted = std::max<double>(slots, settings_.initial_limit);
@@ -134,7 +139,9 @@
 }
 
 void ConcurrencyLimit::Restart(base::TimePoint now) {
+  const auto slots = reported_slots_;
   *this = ConcurrencyLimit(settings_);
+  if (!settings_.learn) OnLoadReport(slots.value_or(0), now);
   last_probe_ = now;
   BeginWindow(now, limit_);
 }
--- a/src/core/base/event_table.cc
+++ b/src/core/base/event_table.cc
@@ -35,6 +35,7 @@
       {EventNumber::kBackendServerAnnounced, "backend_server_announced", EventLevel::kInfo, "a backend server announced itself or a new state"},
       {EventNumber::kBackendServerLeaving, "backend_server_leaving", EventLevel::kInfo, "a backend server is draining and gets no new work"},
       {EventNumber::kBackendServerLost, "backend_server_lost", EventLevel::kWarning, "the announcement of a backend server lapsed"},
+      {EventNumber::kHeartbeatIgnored, "heartbeat_ignored", EventLevel::kInfo, "a heartbeat was outdated, of another backend server, or could not be read"},
       {EventNumber::kConfigurationInForce, "configuration_in_force", EventLevel::kInfo, "the configuration of a ticket is in force on this node"},
       {EventNumber::kConfigurationRefused, "configuration_refused", EventLevel::kError, "a configuration could not be read or is older than the one in force"},
       {EventNumber::kPlatformLost, "platform_lost", EventLevel::kWarning, "the Object API does not answer"},
--- a/src/core/base/event_type.h
+++ b/src/core/base/event_type.h
@@ -40,6 +40,7 @@
   kBackendServerAnnounced = 504,
   kBackendServerLeaving = 505,
   kBackendServerLost = 506,
+  kHeartbeatIgnored = 507,
   // 6xx configuration and platform
   kConfigurationInForce = 601,
   kConfigurationRefused = 602,
--- a/src/core/base/id_type.h
+++ b/src/core/base/id_type.h
@@ -70,6 +70,8 @@
 using RegionName = StrongString<struct RegionNameTag>;
 // Node, as "ip:port" of its peer listener.
 using NodeAddress = StrongString<struct NodeAddressTag>;
+// Node, by its name in the directory of its host system.
+using NodeName = StrongString<struct NodeNameTag>;
 // Whole request over the call chain, made at its first entry; 32 hex digits.
 using RequestId = StrongString<struct RequestIdTag>;
 
--- a/src/core/config/config_base.cc
+++ b/src/core/config/config_base.cc
@@ -66,23 +66,39 @@
   return FindIn(routes_, name);
 }
 
-const Route* ConfigState::FindPrefix(std::string_view path_prefix) const {
-  const base::RouteName* name = FindIn(prefixes_, path_prefix);
+const Route* ConfigState::FindPrefix(std::string_view path_prefix,
+                                     std::string_view host) const {
+  const PrefixTable* prefixes = FindIn(hosts_, host);
+  if (prefixes == nullptr) return nullptr;
+  const base::RouteName* name = FindIn(*prefixes, path_prefix);
   return name == nullptr ? nullptr : FindRoute(*name);
 }
 
-// One lookup per segment, longest prefix first. A backend server may decode
-// escapes and dot segments, so a path that is not canonical could reach
-// another route's resources under the wrong policy.
-const Route* ConfigState::MatchRoute(std::string_view target) const {
-  std::string_view path = TargetPath(target);
+// A backend server may decode escapes and dot segments, so a path that is not
+// canonical could reach another route's resources under the wrong policy.
+const Route* ConfigState::MatchRoute(std::string_view target,
+                                     std::string_view host) const {
+  const std::string_view path = TargetPath(target);
   if (!IsCanonicalPath(path)) return nullptr;
-  if (path.size() > 1 && path.back() == '/') path.remove_suffix(1);
+  if (!host.empty()) {
+    if (const Route* route = MatchHost(path, host)) return route;
+  }
+  return MatchHost(path, {});
+}
+
+// Two lookups per segment, longest prefix first: with the slash that ends the
+// segment and without it.
+const Route* ConfigState::MatchHost(std::string_view path,
+                                    std::string_view host) const {
   while (path.size() > 1) {
-    if (const Route* route = FindPrefix(path)) return route;
-    path = path.substr(0, path.rfind('/'));
+    if (const Route* route = FindPrefix(path, host)) return route;
+    if (path.back() == '/') {
+      path.remove_suffix(1);
+      continue;
+    }
+    path = path.substr(0, path.rfind('/') + 1);
   }
-  return FindPrefix("/");
+  return FindPrefix("/", host);
 }
 
 void ConfigState::PutAccount(const Account& account) {
@@ -99,15 +115,26 @@
 
 void ConfigState::PutRoute(const Route& route) {
   if (const Route* old = FindRoute(route.name)) {
-    const auto it = prefixes_.find(old->path_prefix);
-    if (it != prefixes_.end() && it->second == route.name) prefixes_.erase(it);
+    PrefixTable& prefixes = hosts_[old->host];
+    const auto it = prefixes.find(old->path_prefix);
+    if (it != prefixes.end() && it->second == route.name) prefixes.erase(it);
+    if (prefixes.empty()) hosts_.erase(old->host);
     routes_.erase(route.name);
   }
   if (route.state == EntryState::kRemoved) return;
-  prefixes_.insert_or_assign(route.path_prefix, route.name);
+  hosts_[route.host].insert_or_assign(route.path_prefix, route.name);
   routes_.emplace(route.name, route);
 }
 
+void ConfigState::PutService(const ServiceFacts& facts) {
+  services_.insert_or_assign(facts.service, facts);
+}
+
+const ServiceFacts* ConfigState::FindService(
+    const base::ServiceName& name) const {
+  return FindIn(services_, name);
+}
+
 std::string_view TargetPath(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
--- a/src/core/config/config_base.h
+++ b/src/core/config/config_base.h
@@ -33,17 +33,26 @@
   // Returns the active route, or nullptr.
   const Route* FindRoute(const base::RouteName& name) const;
   // Returns the active route with the longest prefix of the request target, or
-  // nullptr. A target that is not canonical matches none.
-  const Route* MatchRoute(std::string_view target) const;
-  // Returns the active route with exactly this prefix, or nullptr.
-  const Route* FindPrefix(std::string_view path_prefix) const;
+  // nullptr. Routes of the host go before those for any host. A target that is
+  // not canonical matches none.
+  const Route* MatchRoute(std::string_view target,
+                          std::string_view host = {}) const;
+  // Returns the active route with exactly this host and prefix, or nullptr.
+  const Route* FindPrefix(std::string_view path_prefix,
+                          std::string_view host = {}) const;
+  // Returns what is known of the service, or nullptr.
+  const ServiceFacts* FindService(const base::ServiceName& name) const;
+  // Limits on what callers send.
+  const CallerLimits& caller_limits() const { return caller_limits_; }
 
   // Puts one entry into its table; a removed one is taken out. Entries are
   // checked by the caller (config_cmd.h).
   void PutAccount(const Account& account);
   void PutKey(const KeyEntry& key);
   void PutRoute(const Route& route);
+  void PutService(const ServiceFacts& facts);
   void SetNumber(base::TicketNumber number) { number_ = number; }
+  void SetCallerLimits(const CallerLimits& limits) { caller_limits_ = limits; }
 
   friend bool operator==(const ConfigState& a, const ConfigState& b) {
     return a.number_ == b.number_ && a.accounts_ == b.accounts_ &&
@@ -51,11 +60,19 @@
   }
 
  private:
+  // Routes of one host by prefix.
+  using PrefixTable = std::map<std::string, base::RouteName, std::less<>>;
+
+  // Returns the host's route with the longest prefix of the path, or nullptr.
+  const Route* MatchHost(std::string_view path, std::string_view host) const;
+
   base::TicketNumber number_;
   AccountTable accounts_;
   KeyTable keys_;
   RouteTable routes_;
-  std::map<std::string, base::RouteName, std::less<>> prefixes_;
+  std::map<std::string, PrefixTable, std::less<>> hosts_;
+  std::map<base::ServiceName, ServiceFacts> services_;
+  CallerLimits caller_limits_;
 };
 
 // Returns the path of a request target, without its query.
--- a/src/core/config/config_cmd.cc
+++ b/src/core/config/config_cmd.cc
@@ -65,6 +65,16 @@
   return "route '" + route.name.value() + "'";
 }
 
+Result<void> CheckSplit(const Route& route) {
+  for (const ServiceShare& it : route.split) {
+    const Result<void> checked = FirstError(
+        {CheckName(Label(route), "split service", it.service.value()),
+         CheckRange(Label(route), "split weight", it.weight, 1, kMaxWeight)});
+    if (!checked) return checked;
+  }
+  return {};
+}
+
 Result<void> CheckPathPrefix(const Route& route) {
   const std::string& prefix = route.path_prefix;
   if (prefix.size() > kMaxPathPrefixLength || !IsCanonicalPath(prefix)) {
@@ -135,7 +145,7 @@
                       "of an account in the ticket that removes it");
   }
   for (const auto& [name, route] : state.routes()) {
-    const Route* owner = state.FindPrefix(route.path_prefix);
+    const Route* owner = state.FindPrefix(route.path_prefix, route.host);
     if (owner != nullptr && owner->name == name) continue;
     return Refuse(Label(route), "another route has the path_prefix '" +
                                     route.path_prefix + "'");
@@ -182,6 +192,7 @@
   }
   return FirstError({
       CheckPathPrefix(route),
+      CheckSplit(route),
       CheckName(entry, "service", route.service.value()),
       CheckRange(entry, "max_attempts", route.max_attempts, 1,
                  kMaxAttemptsLimit),
--- a/src/core/config/config_cmd.h
+++ b/src/core/config/config_cmd.h
@@ -12,6 +12,7 @@
 constexpr std::size_t kMaxPathPrefixLength = 256;
 constexpr std::uint32_t kMaxRatePerSecond = 1'000'000;
 constexpr std::uint32_t kMaxBurst = 1'000'000;
+constexpr std::uint32_t kMaxWeight = 1'000'000;
 constexpr std::uint32_t kMaxAttemptsLimit = 64;
 constexpr std::uint32_t kMaxRetryPercent = 100;
 constexpr std::chrono::milliseconds kMinRouteTimeout{1};
--- a/src/core/config/config_type.cc
+++ b/src/core/config/config_type.cc
@@ -4,9 +4,13 @@
 
 namespace dogwoodrail::core::config {
 
+bool operator==(const ServiceShare& a, const ServiceShare& b) {
+  return std::tie(a.service, a.weight) == std::tie(b.service, b.weight);
+}
+
 bool operator==(const Account& a, const Account& b) {
-  return std::tie(a.name, a.rate_per_s, a.burst, a.state) ==
-         std::tie(b.name, b.rate_per_s, b.burst, b.state);
+  return std::tie(a.name, a.rate_per_s, a.burst, a.importance, a.state) ==
+         std::tie(b.name, b.rate_per_s, b.burst, b.importance, b.state);
 }
 
 bool operator==(const KeyEntry& a, const KeyEntry& b) {
@@ -15,12 +19,13 @@
 }
 
 bool operator==(const Route& a, const Route& b) {
-  return std::tie(a.name, a.path_prefix, a.service, a.importance, a.idempotent,
-                  a.open_to_all, a.max_attempts, a.retry_percent, a.timeout,
-                  a.state) == std::tie(b.name, b.path_prefix, b.service,
-                                       b.importance, b.idempotent,
-                                       b.open_to_all, b.max_attempts,
-                                       b.retry_percent, b.timeout, b.state);
+  const auto fields = [](const Route& it) {
+    return std::tie(it.name, it.host, it.path_prefix, it.service, it.split,
+                    it.importance, it.idempotent, it.open_to_all,
+                    it.max_attempts, it.retry_percent, it.timeout,
+                    it.latency_objective, it.state);
+  };
+  return fields(a) == fields(b);
 }
 
 bool operator==(const Ticket& a, const Ticket& b) {
--- /dev/null
+++ b/src/core/member/directory.cc
@@ -0,0 +1,81 @@
+#include "core/member/directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodrail::core::member {
+namespace {
+
+constexpr std::uint32_t kMaxDoublings = 8;
+
+}  // namespace
+
+Directory::Directory(const DirectorySettings& settings, base::NodeAddress self,
+                     std::uint64_t seed)
+    : settings_(settings), random_(seed), alone_pause_(settings.alone_pause) {
+  own_.address = std::move(self);
+}
+
+// The own entry is written before the others are listed: of two nodes that
+// start at the same time, at least one finds the other.
+std::optional<DirectoryCall> Directory::Next(base::TimePoint now) {
+  if (call_ || now < next_at_) return std::nullopt;
+  if (!read_) {
+    call_ = DirectoryCall::kReadOwn;
+  } else if (dirty_) {
+    call_ = DirectoryCall::kWriteOwn;
+  } else if (!listed_ || (alone_ && now >= list_at_)) {
+    call_ = DirectoryCall::kList;
+  }
+  return call_;
+}
+
+// A mark made before the entry was read is newer than the one read.
+void Directory::OnOwn(const std::optional<DirectoryEntry>& entry,
+                      base::TimePoint now) {
+  call_.reset();
+  failures_ = 0;
+  next_at_ = now;
+  read_ = true;
+  const bool marked = own_.drained.has_value();
+  if (entry && !marked) own_.drained = entry->drained;
+  dirty_ = marked || !entry || entry->address != own_.address;
+}
+
+void Directory::OnWritten(base::TimePoint now) {
+  call_.reset();
+  failures_ = 0;
+  next_at_ = now;
+  dirty_ = std::exchange(dirty_again_, false);
+}
+
+void Directory::OnList(base::TimePoint now) {
+  call_.reset();
+  failures_ = 0;
+  next_at_ = now;
+  listed_ = true;
+  list_at_ = now + alone_pause_;
+  alone_pause_ = std::min(alone_pause_ * 2, settings_.alone_max);
+}
+
+void Directory::OnFailed(base::TimePoint now) {
+  call_.reset();
+  dirty_again_ = false;
+  const std::uint32_t doublings = std::min(failures_, kMaxDoublings);
+  ++failures_;
+  const base::Duration pause =
+      std::min(settings_.retry_min * (1U << doublings), settings_.retry_max);
+  const auto half = static_cast<std::uint64_t>(pause.count() / 2);
+  next_at_ =
+      now + pause / 2 + base::Duration(base::RandomBelow(random_, half + 1));
+}
+
+void Directory::SetDrained(const backend::DrainMark& mark,
+                           base::TimePoint now) {
+  own_.drained = mark;
+  dirty_ = true;
+  if (call_ == DirectoryCall::kWriteOwn) dirty_again_ = true;
+  if (!call_) next_at_ = now;
+}
+
+}  // namespace dogwoodrail::core::member
--- a/src/core/member/member_table.h
+++ b/src/core/member/member_table.h
@@ -41,6 +41,11 @@
   // Tells the others that this node stops. Ticks go on until it has spread.
   std::vector<MemberAction> BeginLeave(base::TimePoint now);
 
+  // Replaces the seeds, and asks them soon.
+  void SetSeeds(std::vector<base::NodeAddress> seeds, base::TimePoint now) {
+    settings_.seeds = std::move(seeds);
+    sync_.Restart(now);
+  }
   // Spreads a rumour of another module, or one that was held back; false if it
   // is spreading already or a newer one is known.
   bool SpreadRumour(const Rumour& rumour);
@@ -88,7 +93,7 @@
   std::size_t MaxSends() const;
 
   const MemberSelf self_;
-  const MemberSettings settings_;
+  MemberSettings settings_;  // sync_ refers to it
   base::Random random_;
   MemberStore store_;
   RumourQueue queue_;
--- /dev/null
+++ b/src/core/route/split_picker.h
@@ -0,0 +1,36 @@
+#ifndef DOGWOODRAIL_CORE_ROUTE_SPLIT_PICKER_H_
+#define DOGWOODRAIL_CORE_ROUTE_SPLIT_PICKER_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "core/base/random_type.h"
+#include "core/config/config_type.h"
+
+namespace dogwoodrail::core::route {
+
+// Chooses among the services of a split route in proportion to their weights.
+// The shares stay exact over short spans too, so that a small number of
+// requests shows the configured split.
+class SplitPicker {
+ public:
+  explicit SplitPicker(std::uint64_t seed);
+
+  // Returns the service for the next request of the route.
+  base::ServiceName Pick(const config::Route& route);
+
+ private:
+  // Credits by place in the split that they belong to.
+  struct State {
+    std::vector<config::ServiceShare> split;
+    std::vector<double> credits;
+  };
+
+  base::Random random_;
+  std::unordered_map<base::RouteName, State> states_;
+};
+
+}  // namespace dogwoodrail::core::route
+
+#endif  // DOGWOODRAIL_CORE_ROUTE_SPLIT_PICKER_H_
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -9,8 +9,8 @@
 using core::base::Reason;
 
 BackendClient::BackendClient(boost::asio::io_context& loop,
-                             BackendClientSettings settings)
-    : loop_(loop), settings_(settings) {}
+                             BackendClientSettings settings, BackendHooks hooks)
+    : loop_(loop), settings_(settings), hooks_(std::move(hooks)) {}
 
 BackendClient::~BackendClient() { Close(); }
 
@@ -23,14 +23,14 @@
 
 // Asynchronous operations complete from the loop only, so the callback never
 // comes before the identity has been returned.
-ExecutionId BackendClient::Execute(const Request& request,
+ExecutionId BackendClient::Execute(Request request,
                                    core::base::Duration timeout,
                                    Callback callback) {
   const ExecutionId id(next_execution_++);
   std::shared_ptr<Connection> connection = TakeIdle();
   if (!connection) connection = std::make_shared<Connection>(*this, address_);
   executions_[id] = connection;
-  connection->Execute(id, request, timeout, std::move(callback));
+  connection->Execute(id, std::move(request), timeout, std::move(callback));
   return id;
 }
 
--- a/src/http/backend_client.h
+++ b/src/http/backend_client.h
@@ -38,13 +38,33 @@
   std::size_t max_response_body_bytes = 8U * std::size_t{1024} * 1024;
 };
 
+// What an answer says about the execution that it ends.
+enum class AnswerVerdict : std::uint8_t {
+  kRan,              // ran; pass it on
+  kShed,             // refused before any work
+  kOtherInstance,    // another process answers at this address; not run
+  kInvalid,          // not an answer that may be passed on; may have run
+  kBelongsElsewhere  // answers an earlier request; the right one follows
+};
+
+// How the client reads answers of the backend server.
+struct BackendHooks {
+  std::function<AnswerVerdict(const Request&, const Response&)> judge;
+  // True if a body without a length is whole once the peer has closed orderly.
+  bool accepts_unframed = false;
+};
+
+// Returns the hooks for the project's own headers.
+BackendHooks MakeOwnBackendHooks();
+
 // HTTP/1.1 client of the one backend server beside this node. A request is
 // written to one connection once and never repeated by the client.
 class BackendClient {
  public:
   using Callback = std::function<void(BackendOutcome)>;
 
-  BackendClient(boost::asio::io_context& loop, BackendClientSettings settings);
+  BackendClient(boost::asio::io_context& loop, BackendClientSettings settings,
+                BackendHooks hooks = MakeOwnBackendHooks());
   ~BackendClient();
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
@@ -53,7 +73,7 @@
   // are closed.
   void SetAddress(boost::asio::ip::tcp::endpoint address);
   // Starts an execution; the callback comes once, later, on the loop's thread.
-  ExecutionId Execute(const Request& request, core::base::Duration timeout,
+  ExecutionId Execute(Request request, core::base::Duration timeout,
                       Callback callback);
   // Closes the connection of an execution; its callback comes with what is
   // known.
@@ -69,6 +89,7 @@
 
   boost::asio::io_context& loop_;
   BackendClientSettings settings_;
+  BackendHooks hooks_;
   boost::asio::ip::tcp::endpoint address_;
   std::uint64_t next_execution_ = 1;
   std::unordered_map<ExecutionId, std::shared_ptr<Connection>> executions_;
--- a/src/http/backend_connection.cc
+++ b/src/http/backend_connection.cc
@@ -17,9 +17,9 @@
 
 namespace {
 
-// Builds the message as it goes to the backend server.
+// Builds the message as it goes to the backend server; takes the body.
 beast::http::request<beast::http::string_body> ToMessage(
-    const Request& request, const asio::ip::tcp::endpoint& address) {
+    Request& request, const asio::ip::tcp::endpoint& address) {
   beast::http::request<beast::http::string_body> message;
   message.version(11);
   message.method_string(request.method);
@@ -29,7 +29,7 @@
     message.set(field::host, address.address().to_string() + ":" +
                                  std::to_string(address.port()));
   }
-  message.body() = request.body;
+  message.body() = std::move(request.body);
   message.prepare_payload();
   return message;
 }
@@ -46,28 +46,35 @@
   return response;
 }
 
-// True if the backend server says that it refused before any work.
-bool SaysNotRun(const Response& response) {
+// Returns what an answer in the project's own headers says.
+AnswerVerdict JudgeOwn(const Request&, const Response& response) {
   for (const Header& it : response.headers) {
-    if (HeaderNameEquals(it.name, header::kRan)) {
-      return it.value == core::base::RanText(Ran::kNotRun);
-    }
+    if (!HeaderNameEquals(it.name, header::kRan)) continue;
+    return it.value == core::base::RanText(Ran::kNotRun) ? AnswerVerdict::kShed
+                                                         : AnswerVerdict::kRan;
   }
-  return false;
+  return AnswerVerdict::kRan;
 }
 
 }  // namespace
 
+BackendHooks MakeOwnBackendHooks() {
+  BackendHooks hooks;
+  hooks.judge = &JudgeOwn;
+  return hooks;
+}
+
 BackendClient::Connection::Connection(BackendClient& client,
                                       asio::ip::tcp::endpoint address)
     : client_(client), address_(std::move(address)), stream_(client.loop_) {}
 
-void BackendClient::Connection::Execute(ExecutionId id, const Request& request,
+void BackendClient::Connection::Execute(ExecutionId id, Request request,
                                         core::base::Duration timeout,
                                         Callback callback) {
   id_ = id;
   callback_ = std::move(callback);
-  message_ = ToMessage(request, address_);
+  request_ = std::move(request);
+  message_ = ToMessage(request_, address_);
   deadline_ = Clock::now() + timeout;
   written_ = false;
   keep_alive_ = false;
@@ -131,18 +138,31 @@
   if (ec) {
     return Fail(Reason::kBackendServerFailed, "read: " + ec.message());
   }
-  if (parser_->need_eof()) {
+  if (parser_->need_eof() && !client_.hooks_.accepts_unframed) {
     // The end of such a body cannot be told from a cut.
     return Fail(Reason::kBackendServerFailed, "answer without a length");
   }
-  keep_alive_ = parser_->keep_alive();
-  BackendOutcome outcome{Ran::kRan, Reason::kNone,
-                         ToResponse(parser_->release()), ""};
-  if (SaysNotRun(outcome.response)) {
-    outcome.ran = Ran::kNotRun;
-    outcome.reason = Reason::kOverloaded;
+  keep_alive_ = parser_->keep_alive() && !parser_->need_eof();
+  Judge(ToResponse(parser_->release()));
+}
+
+void BackendClient::Connection::Judge(Response response) {
+  switch (client_.hooks_.judge(request_, response)) {
+    case AnswerVerdict::kBelongsElsewhere:
+      if (keep_alive_) return Read();
+      return Fail(Reason::kBackendServerFailed, "answer of another request");
+    case AnswerVerdict::kInvalid:
+      keep_alive_ = false;
+      return Fail(Reason::kBackendServerFailed, "answer not acceptable");
+    case AnswerVerdict::kOtherInstance:
+      return Finish({Ran::kNotRun, Reason::kNoBackendServer,
+                     std::move(response), "another instance"});
+    case AnswerVerdict::kShed:
+      return Finish({Ran::kNotRun, Reason::kOverloaded, std::move(response),
+                     "shed"});
+    case AnswerVerdict::kRan:
+      return Finish({Ran::kRan, Reason::kNone, std::move(response), ""});
   }
-  Finish(std::move(outcome));
 }
 
 void BackendClient::Connection::Abort(Reason reason) {
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -20,7 +20,7 @@
   Connection(BackendClient& client, boost::asio::ip::tcp::endpoint address);
 
   // Executes one request; connects first if need be.
-  void Execute(ExecutionId id, const Request& request,
+  void Execute(ExecutionId id, Request request,
                core::base::Duration timeout, Callback callback);
   // Ends the execution now.
   void Abort(core::base::Reason reason);
@@ -41,6 +41,7 @@
   void Write();
   void Read();
   void OnAnswer(const boost::system::error_code& ec);
+  void Judge(Response response);
   void Fail(core::base::Reason reason, const std::string& detail);
   void Finish(BackendOutcome outcome);
 
@@ -48,6 +49,7 @@
   boost::asio::ip::tcp::endpoint address_;
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
+  Request request_;  // without its body
   Message message_;
   std::optional<Parser> parser_;
   ExecutionId id_;
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -54,6 +54,8 @@
 
   // Listens for callers.
   core::base::Result<void> Listen(const std::string& ip, std::uint16_t port);
+  // Puts other limits in force, for what is read from now on.
+  void SetLimits(const CallerServerSettings& settings) { settings_ = settings; }
   // Answers an exchange; false if the caller has gone.
   bool Answer(ExchangeId exchange, Response response);
   // From now on each connection is closed after its next answer.
--- a/src/http/message_func.cc
+++ b/src/http/message_func.cc
@@ -33,6 +33,23 @@
       [name](std::string_view it) { return HeaderNameEquals(it, name); });
 }
 
+std::string HostName(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  for (char& c : name) {
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  }
+  return name;
+}
+
+const std::string* FindHeader(const std::vector<Header>& headers,
+                              std::string_view name) {
+  const auto it =
+      std::find_if(headers.begin(), headers.end(), [name](const Header& row) {
+        return HeaderNameEquals(row.name, name);
+      });
+  return it == headers.end() ? nullptr : &it->value;
+}
+
 bool IsReservedHeader(std::string_view name) {
   return HeaderNameEquals(name.substr(0, kReservedPrefix.size()),
                           kReservedPrefix);
--- a/src/http/message_type.h
+++ b/src/http/message_type.h
@@ -34,6 +34,13 @@
 // True if both names are the same but for case.
 bool HeaderNameEquals(std::string_view a, std::string_view b);
 
+// Returns the host of a Host header: lower case, without the port.
+std::string HostName(std::string_view host);
+
+// Returns the value of the first header with this name, or nullptr.
+const std::string* FindHeader(const std::vector<Header>& headers,
+                              std::string_view name);
+
 // True if the name starts with "Dogwood-", in any case.
 bool IsReservedHeader(std::string_view name);
 
--- a/src/main.cc
+++ b/src/main.cc
@@ -6,6 +6,9 @@
 #include <vector>
 
 #include "command/command_func.h"
+#include "node/hosted_node.h"
+#include "node/run_node.h"
+#include "platform/host_ports.h"
 
 DEFINE_string(settings, "", "settings file of the node");
 DEFINE_string(platform, "", "IP:port of the Object API");
@@ -42,6 +45,15 @@
          gflags::GetCommandLineFlagInfo(name.substr(2).c_str(), &info);
 }
 
+// Runs a node on the system that its settings name.
+int RunNode(const dogwoodrail::node::Settings& settings) {
+  if (settings.host.adapter == "platform") {
+    return dogwoodrail::node::RunHostedNode(
+        settings, &dogwoodrail::platform::MakeHostPorts);
+  }
+  return dogwoodrail::node::RunNode(settings);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -64,6 +76,7 @@
     return 0;
   }
   dogwoodrail::command::CommandFlags flags;
+  flags.run_node = &RunNode;
   flags.settings = FLAGS_settings;
   flags.platform = FLAGS_platform;
   flags.nodes = SplitList(FLAGS_nodes);
--- /dev/null
+++ b/src/node/backend_system.cc
@@ -0,0 +1,114 @@
+#include "node/backend_system.h"
+
+#include <chrono>
+#include <utility>
+
+namespace dogwoodrail::node {
+
+using core::base::BackendServerState;
+using core::base::Ran;
+using core::base::Reason;
+
+namespace {
+
+// The serving system takes an announcement for a lease; this renews it.
+constexpr core::base::Duration kAnnounceInterval =
+    std::chrono::milliseconds(500);
+// Asked for if the configuration does not name the service's own.
+constexpr const char* kDefaultHealthPath = "/healthz";
+
+}  // namespace
+
+BackendSystem::BackendSystem(const core::backend::WatchSettings& settings,
+                             Node& node, const HostPorts& ports,
+                             core::base::EventSink emit)
+    : node_(node),
+      ports_(ports),
+      emit_(std::move(emit)),
+      watch_(settings, node.settings().host.service,
+             node.settings().host.backend_address) {}
+
+bool BackendSystem::OnHeartbeat(const core::backend::Heartbeat& heartbeat,
+                                TimePoint now) {
+  const bool was_drained =
+      watch_.status().state == BackendServerState::kDraining;
+  if (!watch_.OnHeartbeat(heartbeat, now)) return false;
+  const bool drained = watch_.status().state == BackendServerState::kDraining;
+  if (drained && !was_drained && on_drained_) {
+    on_drained_(*watch_.drain_mark(), now);
+  }
+  Announce(now);
+  return true;
+}
+
+void BackendSystem::OnLeave(const LeaveNotice& notice, TimePoint now) {
+  const bool was_drained =
+      watch_.status().state == BackendServerState::kDraining;
+  watch_.OnLeave(notice.instance, now);
+  const bool drained = watch_.status().state == BackendServerState::kDraining;
+  if (drained && !was_drained && on_drained_) {
+    on_drained_(*watch_.drain_mark(), now);
+  }
+  Announce(now);
+}
+
+void BackendSystem::OnDrainMark(const DrainMark& mark, TimePoint now) {
+  const BackendServerState before = watch_.status().state;
+  watch_.OnDrainMark(mark);
+  AnnounceChange(before, now);
+}
+
+void BackendSystem::OnOutcome(const http::BackendOutcome& outcome,
+                              TimePoint now) {
+  const BackendServerState before = watch_.status().state;
+  if (outcome.response.status != 0) {
+    watch_.OnAnswered(now);
+    if (outcome.reason == Reason::kNoBackendServer) watch_.OnOtherInstance(now);
+  } else if (outcome.ran == Ran::kNotRun &&
+             outcome.reason == Reason::kBackendServerFailed) {
+    watch_.OnUnreachable(now);
+  }
+  AnnounceChange(before, now);
+}
+
+void BackendSystem::Tick(TimePoint now) {
+  const BackendServerState before = watch_.status().state;
+  watch_.Tick(now);
+  AnnounceChange(before, now);
+  if (watch_.TakeProbe(now)) CheckHealth();
+  if (now - announced_at_ >= kAnnounceInterval) Announce(now);
+}
+
+void BackendSystem::CheckHealth() {
+  std::string path = kDefaultHealthPath;
+  if (node_.config()) {
+    const auto* facts = node_.config()->FindService(watch_.status().service);
+    if (facts != nullptr) path = facts->health_path;
+  }
+  ports_.check_health(
+      watch_.status(), path,
+      [this](const core::backend::HealthReport& report) {
+        const BackendServerState before = watch_.status().state;
+        watch_.OnHealth(report, Node::Now());
+        AnnounceChange(before, Node::Now());
+      });
+}
+
+void BackendSystem::AnnounceChange(BackendServerState before, TimePoint now) {
+  if (watch_.status().state != before) Announce(now);
+}
+
+void BackendSystem::Announce(TimePoint now) {
+  const auto& status = watch_.status();
+  if (status.instance.empty()) return;
+  announced_at_ = now;
+  BackendAnnouncement announcement;
+  announcement.service = status.service;
+  announcement.address = status.address;
+  announcement.instance = status.instance.value();
+  announcement.state = status.state;
+  announcement.load.slots = status.slots;
+  node_.OnAnnouncement(announcement);
+}
+
+}  // namespace dogwoodrail::node
--- a/src/node/caller_headers.h
+++ b/src/node/caller_headers.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "core/base/id_type.h"
 #include "core/base/request_type.h"
 #include "http/message_type.h"
 #include "tl/expected.hpp"
@@ -19,6 +20,9 @@
   std::optional<std::string> context;  // sent by the local backend server
   std::optional<std::chrono::milliseconds> timeout;
   std::optional<std::uint32_t> max_attempts;
+  std::string host;  // lower case, without a port
+  // Id that the caller gave to this attempt; empty if the node makes one.
+  core::base::RequestId request;
 };
 
 // Why a request's headers are refused.
--- a/src/node/config_spread.cc
+++ b/src/node/config_spread.cc
@@ -7,7 +7,7 @@
 #include "core/config/config_cmd.h"
 #include "core/spread/reader_choice.h"
 #include "node/secret_func.h"
-#include "platform/config_codec.h"
+#include "objectapi/config_codec.h"
 #include "wire/spread_codec.h"
 
 namespace dogwoodrail::node {
@@ -70,7 +70,7 @@
 }
 
 bool ConfigSpread::ApplyTicket(const spread::Ticket& ticket) {
-  auto decoded = platform::DecodeTicket(ticket.body);
+  auto decoded = objectapi::DecodeTicket(ticket.body);
   if (!decoded || decoded->number != ticket.number) return false;
   auto state = core::config::ApplyTicket(state_, *decoded);
   if (!state) return false;
@@ -79,7 +79,7 @@
 }
 
 bool ConfigSpread::ApplySnapshot(const spread::Snapshot& snapshot) {
-  auto head = platform::DecodeHead(snapshot.body);
+  auto head = objectapi::DecodeHead(snapshot.body);
   if (!head || head->state.number() != snapshot.number) return false;
   PutInForce(std::move(head->state), std::move(head->last_ticket));
   return true;
@@ -88,7 +88,7 @@
 spread::Snapshot ConfigSpread::MakeSnapshot() {
   if (snapshot_cache_.number != state_.number()) {
     snapshot_cache_ = {state_.number(),
-                       platform::EncodeHead({state_, last_ticket_})};
+                       objectapi::EncodeHead({state_, last_ticket_})};
   }
   return snapshot_cache_;
 }
@@ -161,8 +161,8 @@
 void ConfigSpread::Do(const spread::WatchPlatform& action) {
   const auto wait = node_.settings().platform.watch_wait;
   worker_.Submit([this, &node = node_, wait, call = action.call,
-                  after = version_](platform::ObjectStore& store) {
-    platform::ConfigStore config(store);
+                  after = version_](objectapi::ObjectStore& store) {
+    objectapi::ConfigStore config(store);
     auto head = config.WatchHead(after, wait);
     node.Post([this, call, head = std::move(head)]() mutable {
       OnHead(call, std::move(head));
@@ -172,8 +172,8 @@
 
 void ConfigSpread::Do(const spread::ReadPlatform& action) {
   worker_.Submit(
-      [this, &node = node_, call = action.call](platform::ObjectStore& store) {
-        platform::ConfigStore config(store);
+      [this, &node = node_, call = action.call](objectapi::ObjectStore& store) {
+        objectapi::ConfigStore config(store);
         Head head = config.ReadHead();
         node.Post([this, call, head = std::move(head)]() mutable {
           OnHead(call, std::move(head));
@@ -182,8 +182,8 @@
 }
 
 void ConfigSpread::Do(const spread::ReadPlatformTickets& action) {
-  worker_.Submit([this, &node = node_, action](platform::ObjectStore& store) {
-    platform::ConfigStore config(store);
+  worker_.Submit([this, &node = node_, action](objectapi::ObjectStore& store) {
+    objectapi::ConfigStore config(store);
     core::base::Result<std::vector<spread::Ticket>> tickets;
     for (std::uint64_t it = action.first.value(); it <= action.last.value();
          ++it) {
@@ -192,7 +192,7 @@
         tickets = tl::make_unexpected(ticket.error());
         break;
       }
-      tickets->push_back({ticket->number, platform::EncodeTicket(*ticket)});
+      tickets->push_back({ticket->number, objectapi::EncodeTicket(*ticket)});
     }
     node.Post([this, call = action.call, tickets = std::move(tickets)] {
       OnTickets(call, tickets);
@@ -230,15 +230,15 @@
   if (!*head) {
     return Apply(control_.OnPlatformValue(call, control_.in_force(), now));
   }
-  const platform::StoredHead& stored = **head;
+  const objectapi::StoredHead& stored = **head;
   if (version_ < stored.version) version_ = stored.version;
   const TicketNumber number = stored.head.state.number();
   if (!(control_.in_force() < number)) {
     return Apply(control_.OnPlatformValue(call, number, now));
   }
   Apply(control_.OnPlatformHead(
-      call, {number, platform::EncodeHead(stored.head)},
-      {number, platform::EncodeTicket(stored.head.last_ticket)}, now));
+      call, {number, objectapi::EncodeHead(stored.head)},
+      {number, objectapi::EncodeTicket(stored.head.last_ticket)}, now));
 }
 
 void ConfigSpread::OnTickets(
--- a/src/node/config_spread.h
+++ b/src/node/config_spread.h
@@ -13,7 +13,7 @@
 #include "core/spread/spread_control.h"
 #include "node/node_base.h"
 #include "node/platform_worker.h"
-#include "platform/config_store.h"
+#include "objectapi/config_store.h"
 
 namespace dogwoodrail::node {
 
@@ -32,7 +32,7 @@
   void Start();
 
  private:
-  using Head = core::base::Result<std::optional<platform::StoredHead>>;
+  using Head = core::base::Result<std::optional<objectapi::StoredHead>>;
 
   core::spread::ConfigurationHooks MakeHooks();
   bool ApplyTicket(const core::spread::Ticket& ticket);
@@ -68,7 +68,7 @@
   core::config::ConfigState state_;
   core::config::Ticket last_ticket_;
   core::spread::Snapshot snapshot_cache_;
-  platform::ObjectVersion version_;
+  objectapi::ObjectVersion version_;
   bool reachable_ = true;
 };
 
--- /dev/null
+++ b/src/node/directory_system.cc
@@ -0,0 +1,75 @@
+#include "node/directory_system.h"
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace dogwoodrail::node {
+
+using core::base::NodeAddress;
+using core::base::Result;
+using core::member::DirectoryCall;
+using core::member::DirectoryEntry;
+
+DirectorySystem::DirectorySystem(
+    const core::member::DirectorySettings& settings, std::uint64_t seed,
+    Node& node, const HostPorts& ports)
+    : node_(node),
+      ports_(ports),
+      directory_(settings,
+                 NodeAddress(node.settings().identity.peer_address), seed) {}
+
+void DirectorySystem::Tick(TimePoint now) {
+  directory_.SetAlone(node_.members().table().live_count() <= 1);
+  const auto call = directory_.Next(now);
+  if (!call) return;
+  switch (*call) {
+    case DirectoryCall::kReadOwn:
+      return ReadOwn();
+    case DirectoryCall::kWriteOwn:
+      return WriteOwn();
+    case DirectoryCall::kList:
+      return List();
+  }
+}
+
+void DirectorySystem::OnFailed() { directory_.OnFailed(Node::Now()); }
+
+void DirectorySystem::ReadOwn() {
+  ports_.read_own([this](const Result<std::optional<DirectoryEntry>>& entry) {
+    if (!entry) return OnFailed();
+    const TimePoint now = Node::Now();
+    directory_.OnOwn(*entry, now);
+    if (*entry && (*entry)->drained && on_drain_mark_) {
+      on_drain_mark_(*(*entry)->drained);
+    }
+    Tick(now);
+  });
+}
+
+void DirectorySystem::WriteOwn() {
+  ports_.write_own(directory_.own(), [this](const Result<void>& written) {
+    if (!written) return OnFailed();
+    const TimePoint now = Node::Now();
+    directory_.OnWritten(now);
+    Tick(now);
+  });
+}
+
+void DirectorySystem::List() {
+  ports_.list_entries([this](const Result<std::vector<DirectoryEntry>>& list) {
+    if (!list) return OnFailed();
+    std::vector<NodeAddress> seeds;
+    for (const DirectoryEntry& it : *list) seeds.push_back(it.address);
+    const TimePoint now = Node::Now();
+    node_.members().SetSeeds(std::move(seeds), now);
+    directory_.OnList(now);
+  });
+}
+
+void DirectorySystem::KeepDrainMark(const DrainMark& mark, TimePoint now) {
+  directory_.SetDrained(mark, now);
+  Tick(now);
+}
+
+}  // namespace dogwoodrail::node
--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -33,7 +33,8 @@
     : settings_(settings),
       chooser_(chooser),
       ports_(std::move(ports)),
-      random_(settings.seed) {}
+      random_(settings.seed),
+      splits_(settings.seed) {}
 
 void EntrySystem::SetConfig(
     std::shared_ptr<const core::config::ConfigState> config) {
@@ -45,9 +46,10 @@
   EntryCall call;
   call.exchange = exchange;
   call.received_at = now;
-  call.request = ports_.make_request_id();
   call.message = std::move(message);
-  const auto headers = ReadCallerHeaders(call.message);
+  const auto headers = ports_.dialect.take_headers(call.message);
+  const bool is_named = headers && !headers->request.empty();
+  call.request = is_named ? headers->request : ports_.make_request_id();
   if (!headers) {
     return RefuseAtOnce(call, {headers.error().reason, headers.error().detail});
   }
@@ -62,9 +64,11 @@
 std::optional<EntrySystem::Refusal> EntrySystem::Identify(
     const CallerHeaders& headers, EntryCall& call, TimePoint now) {
   if (!config_) return Refusal{Reason::kNoConfiguration, ""};
-  const auto* route = config_->MatchRoute(call.message.target);
+  const auto* route =
+      config_->MatchRoute(call.message.target, headers.host);
   if (route == nullptr) return Refusal{Reason::kUnknownRoute, ""};
   call.route = *route;
+  call.service = splits_.Pick(*route);
   call.importance = route->importance;
   call.deadline = now + route->timeout;
   if (headers.timeout) {
@@ -101,15 +105,15 @@
   if (!headers.key) return Refusal{Reason::kNoKey, ""};
   if (!config_fresh_) return Refusal{Reason::kConfigurationStale, ""};
   const auto* key = config_->FindKey(ports_.hash_key(*headers.key));
-  if (key == nullptr || config_->FindAccount(key->account) == nullptr) {
-    return Refusal{Reason::kUnknownKey, ""};
-  }
+  const auto* account =
+      key == nullptr ? nullptr : config_->FindAccount(key->account);
+  if (account == nullptr) return Refusal{Reason::kUnknownKey, ""};
   call.account = key->account;
+  call.importance = account->importance.value_or(call.importance);
   return std::nullopt;
 }
 
 void EntrySystem::Admit(EntryCall call, TimePoint now) {
-  StripCallerHeaders(call.message);
   call.fingerprint = FingerprintOf(call);
   const EntryIndex index = calls_.Add(std::move(call));
   EntryCall& added = *calls_.Find(index);
@@ -149,7 +153,7 @@
   if (answer.replay) {
     EntryOutcome outcome{Ran::kRan, Reason::kNone, nullptr};
     http::Response response = *answer.replay;
-    AddReplyHeaders(response, call->request, Ran::kRan, 0);
+    ports_.dialect.add_answer_headers(response, {call->request, Ran::kRan, 0});
     return Finish(*call, outcome, std::move(response), now);
   }
   if (!answer.admitted) {
@@ -171,7 +175,7 @@
   reply.reason = refusal.reason;
   reply.request = call.request;
   reply.detail = refusal.detail;
-  ports_.answer(call.exchange, MakeRefusal(reply));
+  ports_.answer(call.exchange, ports_.dialect.make_refusal(reply));
 }
 
 }  // namespace dogwoodrail::node
--- a/src/node/entry_attempt.cc
+++ b/src/node/entry_attempt.cc
@@ -55,7 +55,7 @@
     return FinishWithRefusal(call, Reason::kDeadlineExceeded, Duration(0), now);
   }
   core::route::ChooseRequest wanted;
-  wanted.service = call.route.service;
+  wanted.service = call.service;
   wanted.account = call.account;
   wanted.importance = call.importance;
   wanted.excluded = call.tried;
@@ -84,7 +84,7 @@
   call.stage = EntryStage::kAttempt;
   call.attempt = attempt;
   by_attempt_[attempt.id] = call.index;
-  chooser_.OnSent(call.route.service, attempt.to);
+  chooser_.OnSent(call.service, attempt.to);
   Emit(EventNumber::kAttemptSent, call,
        "to=" + attempt.to.value() +
            " attempt=" + std::to_string(call.dispatches));
@@ -107,7 +107,7 @@
   message.request = call.request;
   message.account = call.account;
   message.route = call.route.name;
-  message.service = call.route.service;
+  message.service = call.service;
   message.importance = call.importance;
   message.idempotent = call.route.idempotent;
   message.hop = call.hop;
@@ -194,7 +194,7 @@
   call.attempt.reset();
   by_attempt_.erase(attempt.id);
   core::route::CallAnswer answer;
-  answer.service = call.route.service;
+  answer.service = call.service;
   answer.address = attempt.to;
   answer.account = call.account;
   answer.importance = call.importance;
@@ -239,7 +239,8 @@
   response.body = std::move(message.body);
   const EntryOutcome outcome{Ran::kRan, Reason::kNone, &response};
   if (ports_.on_outcome) ports_.on_outcome(call, outcome, now);
-  AddReplyHeaders(response, call.request, Ran::kRan, AttemptsUsed(call));
+  ports_.dialect.add_answer_headers(
+      response, {call.request, Ran::kRan, AttemptsUsed(call)});
   Emit(EventNumber::kRequestAnswered, call,
        "status=" + std::to_string(response.status));
   const http::ExchangeId exchange = call.exchange;
@@ -256,8 +257,8 @@
   reply.retry_after = retry_after;
   reply.request = call.request;
   reply.attempts = AttemptsUsed(call);
-  Finish(call, EntryOutcome{reply.ran, reason, nullptr}, MakeRefusal(reply),
-         now);
+  Finish(call, EntryOutcome{reply.ran, reason, nullptr},
+         ports_.dialect.make_refusal(reply), now);
 }
 
 void EntrySystem::Finish(EntryCall& call, const EntryOutcome& outcome,
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -9,6 +9,7 @@
 #include "core/base/random_type.h"
 #include "core/config/config_base.h"
 #include "core/route/endpoint_chooser.h"
+#include "core/route/split_picker.h"
 #include "node/caller_headers.h"
 #include "node/entry_type.h"
 
@@ -101,6 +102,7 @@
   core::route::EndpointChooser& chooser_;
   EntryPorts ports_;
   core::base::Random random_;
+  core::route::SplitPicker splits_;
   std::shared_ptr<const core::config::ConfigState> config_;
   bool config_fresh_ = false;
   core::base::Pool<EntryCall> calls_;
--- a/src/node/entry_type.h
+++ b/src/node/entry_type.h
@@ -16,6 +16,7 @@
 #include "core/config/config_type.h"
 #include "http/caller_server.h"
 #include "http/message_type.h"
+#include "node/dialect_type.h"
 #include "node/execution_type.h"
 #include "wire/call_message.h"
 #include "wire/links.h"
@@ -51,6 +52,7 @@
   core::base::RequestId request;
   core::base::AccountName account;  // empty on a route open to all
   core::config::Route route;
+  core::base::ServiceName service;  // of the route, or its choice of a split
   core::base::Importance importance = core::base::Importance::kLookup;
   std::uint8_t hop = 0;
   ExecutionIndex parent;  // the execution that made this call, if any
@@ -62,6 +64,7 @@
   core::attempt::AttemptBudget budget;  // of a call without a parent
   std::uint32_t budget_at_start = 0;
   std::uint32_t dispatches = 0;
+  std::uint32_t redirects = 0;  // dispatches that reached no backend server
   std::vector<core::base::NodeAddress> tried;
   core::base::TimePoint resume_at;
   core::base::TimePoint start_before;  // zero: no limit but the deadline
@@ -111,6 +114,7 @@
   // Returns the SHA-256 of a key.
   std::function<core::config::KeyHash(const std::string& key)> hash_key;
   core::base::EventSink emit;
+  Dialect dialect;
 
   // Gates and observer, each optional. A gate answers, at once or later,
   // through EntrySystem::OnGateAnswer().
--- a/src/node/event_log.cc
+++ b/src/node/event_log.cc
@@ -138,6 +138,17 @@
   return logger;
 }
 
+core::base::Result<std::unique_ptr<EventLog>> MakeEventLog(
+    const LogSettings& settings) {
+  try {
+    return std::make_unique<EventLog>(settings, &SystemWallTime,
+                                      MakeLogger(settings));
+  } catch (const spdlog::spdlog_ex& ex) {
+    return core::base::MakeError(core::base::ErrorCode::kInvalidArgument,
+                                 "[log] file: " + std::string(ex.what()));
+  }
+}
+
 WallTime SystemWallTime() {
   return std::chrono::time_point_cast<WallTime::duration>(
       std::chrono::system_clock::now());
--- a/src/node/event_log.h
+++ b/src/node/event_log.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "core/base/error_type.h"
 #include "core/base/event_table.h"
 #include "core/base/time_type.h"
 #include "node/settings_type.h"
@@ -77,6 +78,11 @@
 // Returns the text with characters outside of printable ASCII replaced.
 std::string Printable(std::string text);
 
+// Makes the log of a process with its logger; an error if the file cannot be
+// opened.
+core::base::Result<std::unique_ptr<EventLog>> MakeEventLog(
+    const LogSettings& settings);
+
 // Returns a logger for the settings. It never blocks its callers: what cannot
 // be written in time is dropped, oldest first.
 std::shared_ptr<spdlog::logger> MakeLogger(const LogSettings& settings);
--- /dev/null
+++ b/src/node/hosted_node.cc
@@ -0,0 +1,224 @@
+#include "node/hosted_node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "node/backend_system.h"
+#include "node/config_follow_system.h"
+#include "node/directory_system.h"
+#include "node/event_log.h"
+#include "node/node_base.h"
+#include "node/node_operator.h"
+#include "node/secret_func.h"
+#include "wire/address_func.h"
+
+namespace dogwoodrail::node {
+namespace {
+
+using core::base::EventNumber;
+using core::base::Result;
+using core::base::TimePoint;
+
+constexpr int kExitOk = 0;
+constexpr int kExitBadSettings = 2;
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// Longest wait for the store to keep a drain mark before it is acknowledged.
+constexpr core::base::Duration kDrainWriteLimit =
+    std::chrono::milliseconds(300);
+
+// A node with the systems by which it lives on another system.
+class HostedNode {
+ public:
+  HostedNode(const Settings& settings, core::base::EventSink emit)
+      : settings_(settings), emit_(std::move(emit)) {}
+
+  // Makes the parts; the loop exists before the node, for the adapter's calls.
+  Result<void> Build(const HostPortsFactory& factory) {
+    auto ports = factory(loop_, settings_);
+    if (!ports) return tl::make_unexpected(ports.error());
+    ports_ = std::move(*ports);
+    node_ = std::make_unique<Node>(loop_, settings_, emit_, ports_.dialect);
+    config_ = std::make_unique<ConfigFollowSystem>(
+        settings_.host.follow, RandomSeed(), *node_, ports_, emit_);
+    directory_ = std::make_unique<DirectorySystem>(settings_.host.directory,
+                                                   RandomSeed(), *node_, ports_);
+    backend_ = std::make_unique<BackendSystem>(settings_.host.watch, *node_,
+                                               ports_, emit_);
+    Connect();
+    return Listen();
+  }
+
+  Node& node() { return *node_; }
+
+ private:
+  // An acknowledgement that waits for the store.
+  struct PendingAck {
+    http::ExchangeId exchange;
+    TimePoint give_up_at;
+  };
+
+  void Connect() {
+    node_->SetFreshnessCheck(
+        [this](TimePoint now) { return config_->IsFresh(now); });
+    node_->SetSuspendedHook(
+        [this](core::base::Duration time) { config_->OnSuspended(time); });
+    backend_->SetDrainHook([this](const auto& mark, TimePoint now) {
+      directory_->KeepDrainMark(mark, now);
+    });
+    directory_->SetDrainMarkHook([this](const auto& mark) {
+      backend_->OnDrainMark(mark, Node::Now());
+    });
+    node_->serving().ports().on_finished =
+        [this](const Execution&, const http::BackendOutcome& outcome,
+               TimePoint now) { backend_->OnOutcome(outcome, now); };
+    node_->AddSystem([this](TimePoint now) { Tick(now); });
+  }
+
+  Result<void> Listen() {
+    if (auto ok = node_->Listen(); !ok) return ok;
+    ready_server_ = MakeServer([this](http::ExchangeId exchange,
+                                      const http::Request& request) {
+      ready_server_->Answer(exchange, AnswerReady(request));
+    });
+    control_server_ = MakeServer([this](http::ExchangeId exchange,
+                                        const http::Request& request) {
+      OnControl(exchange, request);
+    });
+    if (auto ok = ListenAt(*ready_server_, settings_.host.ready_address); !ok) {
+      return ok;
+    }
+    return ListenAt(*control_server_, settings_.host.control_address);
+  }
+
+  std::unique_ptr<http::CallerServer> MakeServer(
+      std::function<void(http::ExchangeId, http::Request)> on_request) {
+    http::CallerServerHooks hooks;
+    hooks.on_request = std::move(on_request);
+    hooks.on_cancel = [](http::ExchangeId) {};
+    hooks.on_malformed = [](core::base::Reason, const std::string& detail) {
+      return MakeTextResponse(kBadRequest, "text/plain", detail + "\n");
+    };
+    return std::make_unique<http::CallerServer>(
+        loop_, http::CallerServerSettings(), std::move(hooks));
+  }
+
+  static Result<void> ListenAt(http::CallerServer& server,
+                               const std::string& text) {
+    const auto address = wire::ParseIpPort(text);
+    if (!address) return tl::make_unexpected(address.error());
+    return server.Listen(address->ip, address->port);
+  }
+
+  // Without a configuration the node could only refuse.
+  http::Response AnswerReady(const http::Request& request) {
+    if (!ports_.is_ready_question(request)) {
+      return MakeTextResponse(kNotFound, "text/plain", "");
+    }
+    const bool ready = node_->config() != nullptr && !node_->stopping();
+    return MakeTextResponse(ready ? kOk : kUnavailable, "text/plain", "");
+  }
+
+  void OnControl(http::ExchangeId exchange, const http::Request& request) {
+    const TimePoint now = Node::Now();
+    const BackendNotice notice = ports_.read_notice(request);
+    if (const auto* beat = std::get_if<core::backend::Heartbeat>(&notice)) {
+      if (!backend_->OnHeartbeat(*beat, now)) {
+        emit_({EventNumber::kHeartbeatIgnored,
+               {},
+               {},
+               "instance=" + beat->instance.value() +
+                   " sequence=" + std::to_string(beat->sequence)});
+      }
+      return Acknowledge(exchange, beat->draining, now);
+    }
+    if (const auto* leave = std::get_if<LeaveNotice>(&notice)) {
+      backend_->OnLeave(*leave, now);
+      return Acknowledge(exchange, true, now);
+    }
+    emit_({EventNumber::kHeartbeatIgnored, {}, {}, "cause=unreadable"});
+    control_server_->Answer(
+        exchange, MakeTextResponse(kBadRequest, "application/json", "{}"));
+  }
+
+  // A later life of this node must know what was acknowledged, so the store
+  // has it first. If the store is away the acknowledgement does not wait long:
+  // this life keeps to it in any case.
+  void Acknowledge(http::ExchangeId exchange, bool wait_for_store,
+                   TimePoint now) {
+    if (wait_for_store && !directory_->is_written()) {
+      pending_acks_.push_back({exchange, now + kDrainWriteLimit});
+      return;
+    }
+    control_server_->Answer(
+        exchange, MakeTextResponse(kOk, "application/json", "{}"));
+  }
+
+  void Tick(TimePoint now) {
+    config_->Tick(now);
+    directory_->Tick(now);
+    backend_->Tick(now);
+    AnswerPending(now);
+  }
+
+  void AnswerPending(TimePoint now) {
+    std::vector<PendingAck> waiting;
+    for (const PendingAck& it : std::exchange(pending_acks_, {})) {
+      if (directory_->is_written() || now >= it.give_up_at) {
+        control_server_->Answer(
+            it.exchange, MakeTextResponse(kOk, "application/json", "{}"));
+      } else {
+        waiting.push_back(it);
+      }
+    }
+    pending_acks_ = std::move(waiting);
+  }
+
+  Settings settings_;
+  core::base::EventSink emit_;
+  boost::asio::io_context loop_{1};
+  HostPorts ports_;
+  std::unique_ptr<Node> node_;
+  std::unique_ptr<ConfigFollowSystem> config_;
+  std::unique_ptr<DirectorySystem> directory_;
+  std::unique_ptr<BackendSystem> backend_;
+  std::unique_ptr<http::CallerServer> ready_server_;
+  std::unique_ptr<http::CallerServer> control_server_;
+  std::vector<PendingAck> pending_acks_;
+};
+
+}  // namespace
+
+int RunHostedNode(const Settings& settings, const HostPortsFactory& factory) {
+  auto log = MakeEventLog(settings.log);
+  if (!log) {
+    std::cerr << "dogwoodrail: cannot start: " << log.error().detail << "\n";
+    return kExitBadSettings;
+  }
+  const core::base::EventSink emit = [&](core::base::Event event) {
+    (*log)->Record(std::move(event));
+  };
+  HostedNode hosted(settings, emit);
+  if (const auto ok = hosted.Build(factory); !ok) {
+    std::cerr << "dogwoodrail: cannot start: " << ok.error().detail << "\n";
+    return kExitBadSettings;
+  }
+  NodeOperator operators(hosted.node(), **log);
+  if (const auto ok = operators.Listen(); !ok) {
+    std::cerr << "dogwoodrail: cannot start: " << ok.error().detail << "\n";
+    return kExitBadSettings;
+  }
+  hosted.node().Run();
+  spdlog::shutdown();
+  return kExitOk;
+}
+
+}  // namespace dogwoodrail::node
--- a/src/node/member_system.h
+++ b/src/node/member_system.h
@@ -30,6 +30,10 @@
 
   // Takes the state of the backend server beside this node.
   void SetBackend(const BackendAnnouncement& backend, TimePoint now);
+  // Replaces the nodes that are asked for the members.
+  void SetSeeds(std::vector<core::base::NodeAddress> seeds, TimePoint now) {
+    table_.SetSeeds(std::move(seeds), now);
+  }
   // Tells the others that this node stops.
   void BeginLeave(TimePoint now);
   // Takes a datagram from another node.
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <utility>
 
 #include "core/base/reason_table.h"
@@ -29,6 +30,19 @@
 constexpr core::base::Duration kMembersInterval =
     std::chrono::milliseconds(500);
 constexpr std::size_t kContextBytes = 16;
+// Shorter differences between the clocks are not worth acting on.
+constexpr core::base::Duration kLeastSuspension = std::chrono::milliseconds(20);
+
+// Returns the time for which the VM has been suspended since it was booted.
+core::base::Duration SuspendedTime() {
+  timespec boot{};
+  timespec steady{};
+  ::clock_gettime(CLOCK_BOOTTIME, &boot);
+  ::clock_gettime(CLOCK_MONOTONIC, &steady);
+  const auto seconds = std::chrono::seconds(boot.tv_sec - steady.tv_sec);
+  const auto rest = std::chrono::nanoseconds(boot.tv_nsec - steady.tv_nsec);
+  return std::chrono::duration_cast<core::base::Duration>(seconds + rest);
+}
 
 // Returns how this node introduces itself to others.
 wire::LinkPeer MakeSelf(const Settings& settings) {
@@ -77,12 +91,14 @@
 
 }  // namespace
 
-Node::Node(Settings settings, core::base::EventSink emit)
+Node::Node(asio::io_context& loop, Settings settings,
+           core::base::EventSink emit, Dialect dialect)
     : settings_(std::move(settings)),
       emit_(std::move(emit)),
+      dialect_(std::move(dialect)),
       self_(settings_.identity.peer_address),
       self_peer_(MakeSelf(settings_)),
-      loop_(1),
+      loop_(loop),
       tick_timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT),
       links_(loop_, self_peer_, settings_.links),
@@ -90,7 +106,7 @@
       shards_(settings_.shard,
               {{self_peer_.address, self_peer_.incarnation}, self_peer_.zone},
               links_, emit_, Now()),
-      backend_client_(loop_, settings_.backend),
+      backend_client_(loop_, settings_.backend, dialect_.backend),
       admission_(settings_.admission, RandomSeed()),
       chooser_(settings_.route, RandomSeed()),
       entry_(EntrySettings{settings_.retry, RandomSeed()}, chooser_,
@@ -106,6 +122,7 @@
                RandomSeed(), datagrams_, chooser_, emit_),
       caller_server_(loop_, settings_.caller, MakeCallerHooks()) {
   SetLinkHandlers();
+  suspended_total_ = SuspendedTime();
 }
 
 Node::~Node() {
@@ -143,13 +160,30 @@
 void Node::SetConfig(std::shared_ptr<const core::config::ConfigState> config) {
   config_ = std::move(config);
   entry_.SetConfig(config_);
-  rates_.SetConfig(*config_, Now());
+  if (settings_.features.shards) rates_.SetConfig(*config_, Now());
+  ApplyCallerLimits(config_->caller_limits());
   emit_({EventNumber::kConfigurationInForce,
          {},
          {},
          "number=" + std::to_string(config_->number().value())});
 }
 
+// A limit that the configuration does not name stays as the settings say.
+void Node::ApplyCallerLimits(const core::config::CallerLimits& limits) {
+  http::CallerServerSettings caller = settings_.caller;
+  if (limits.max_header_bytes > 0) {
+    caller.max_header_bytes = limits.max_header_bytes;
+  }
+  if (limits.max_body_bytes > 0) caller.max_body_bytes = limits.max_body_bytes;
+  if (limits.header_timeout.count() > 0) {
+    caller.header_timeout = limits.header_timeout;
+  }
+  if (limits.idle_timeout.count() > 0) {
+    caller.idle_timeout = limits.idle_timeout;
+  }
+  caller_server_.SetLimits(caller);
+}
+
 void Node::OnAnnouncement(const BackendAnnouncement& announcement) {
   const auto address = wire::ParseIpPort(announcement.address);
   if (!address) return;
@@ -183,15 +217,17 @@
   };
   ports.make_request_id = [] { return MakeRequestId(WallNow()); };
   ports.hash_key = HashKey;
-  ports.rate_gate = [this](const EntryCall& call, TimePoint now) {
-    rates_.OnCall(call, now);
-  };
-  ports.once_gate = [this](const EntryCall& call, TimePoint now) {
-    once_.OnCall(call, now);
-  };
+  if (settings_.features.shards) {
+    ports.rate_gate = [this](const EntryCall& call, TimePoint now) {
+      rates_.OnCall(call, now);
+    };
+    ports.once_gate = [this](const EntryCall& call, TimePoint now) {
+      once_.OnCall(call, now);
+    };
+  }
   ports.on_outcome = [this](const EntryCall& call, const EntryOutcome& outcome,
                             TimePoint now) {
-    once_.OnOutcome(call, outcome, now);
+    if (settings_.features.shards) once_.OnOutcome(call, outcome, now);
     metrics_.OnRequestEnded(call.importance, outcome.reason,
                             now - call.received_at);
   };
@@ -199,6 +235,7 @@
     metrics_.OnRequestEnded(importance, reason, core::base::Duration(0));
   };
   ports.emit = emit_;
+  ports.dialect = dialect_;
   return ports;
 }
 
@@ -224,6 +261,13 @@
   ports.on_backend = [this](const BackendAnnouncement& backend, TimePoint now) {
     members_.SetBackend(backend, now);
   };
+  if (settings_.features.shards) AddPoisonPorts(ports);
+  ports.emit = emit_;
+  ports.dialect = dialect_;
+  return ports;
+}
+
+void Node::AddPoisonPorts(ServingPorts& ports) {
   ports.check_call = [this](const wire::CallMessage& message, TimePoint now) {
     return poison_.CheckCall(message, now);
   };
@@ -233,13 +277,12 @@
   ports.on_finished =
       [this](const Execution& execution, const http::BackendOutcome& outcome,
              TimePoint now) { poison_.OnFinished(execution, outcome, now); };
-  ports.emit = emit_;
-  return ports;
 }
 
 http::CallerServerHooks Node::MakeCallerHooks() {
   http::CallerServerHooks hooks;
   hooks.on_request = [this](http::ExchangeId exchange, http::Request request) {
+    CheckSuspension();
     const TimePoint now = Now();
     entry_.SetConfigFresh(is_fresh_ && is_fresh_(now));
     entry_.OnRequest(exchange, std::move(request), now);
@@ -256,7 +299,7 @@
            reply.request,
            {},
            "reason=" + std::string(core::base::GetReasonSpec(reason).code)});
-    return MakeRefusal(reply);
+    return dialect_.make_refusal(reply);
   };
   return hooks;
 }
@@ -349,11 +392,19 @@
 }
 
 void Node::Tick() {
+  CheckSuspension();
   const TimePoint now = Now();
   entry_.Tick(now);
   serving_.Tick(now);
   chooser_.Tick(now);
   members_.Tick(now);
+  if (settings_.features.shards) TickShards(now);
+  for (const auto& it : further_systems_) it(now);
+  if (stopping_) CheckStopped();
+  if (!loop_.stopped()) ScheduleTick();
+}
+
+void Node::TickShards(TimePoint now) {
   if (now >= members_given_ + kMembersInterval) {
     members_given_ = now;
     shards_.OnMembers(members_.Members());
@@ -362,8 +413,16 @@
   rates_.Tick(now);
   once_.Tick(now);
   poison_.Tick(now);
-  if (stopping_) CheckStopped();
-  if (!loop_.stopped()) ScheduleTick();
+}
+
+// The steady clock does not count the time for which a VM is suspended, so a
+// lease would outlive it. The boot clock counts it.
+void Node::CheckSuspension() {
+  const core::base::Duration total = SuspendedTime();
+  const core::base::Duration time = total - suspended_total_;
+  if (time < kLeastSuspension) return;
+  suspended_total_ = total;
+  if (on_suspended_) on_suspended_(time);
 }
 
 void Node::WaitForSignal() {
@@ -385,30 +444,38 @@
   stop_began_ = Now();
   emit_({EventNumber::kNodeStopping, {}, {}, "address=" + self_.value()});
   caller_server_.BeginStop();
-  serving_.BeginStop();
-  shards_.BeginStop(stop_began_);
+  if (settings_.shutdown.serve_grace.count() == 0) serving_.BeginStop();
+  if (settings_.features.shards) shards_.BeginStop(stop_began_);
   members_.BeginLeave(stop_began_);
 }
 
+// Callers are still accepted while the backend server works: it may need calls
+// of its own to finish.
 void Node::CheckStopped() {
   const auto stopping_for = Now() - stop_began_;
   const core::base::Duration grace = settings_.shutdown.idle_grace;
-  if (!accepting_stopped_ && stopping_for >= grace) {
+  if (stopping_for >= settings_.shutdown.serve_grace) serving_.BeginStop();
+  if (!accepting_stopped_ && stopping_for >= grace && serving_.size() == 0) {
     caller_server_.StopAccepting();
     accepting_stopped_ = true;
+    accepting_stopped_at_ = stopping_for;
   }
-  if (!idle_closed_ && stopping_for >= 2 * grace) {
+  if (accepting_stopped_ && !idle_closed_ &&
+      stopping_for >= accepting_stopped_at_ + grace / 2) {
     caller_server_.CloseIdle();
     idle_closed_ = true;
   }
-  const bool done = idle_closed_ && entry_.size() == 0 &&
-                    serving_.size() == 0 && caller_server_.size() == 0 &&
-                    once_.size() == 0;
-  const bool handed_over = shards_.IsStopped(Now()) ||
-                           stopping_for >= settings_.shutdown.shard_grace;
-  if ((done && handed_over) || stopping_for >= settings_.shutdown.deadline) {
-    loop_.stop();
-  }
+  if (IsDone() || stopping_for >= settings_.shutdown.deadline) loop_.stop();
+}
+
+bool Node::IsDone() const {
+  const bool idle = idle_closed_ && entry_.size() == 0 &&
+                    serving_.size() == 0 && caller_server_.size() == 0;
+  if (!settings_.features.shards) return idle;
+  const bool handed_over =
+      shards_.IsStopped(Now()) ||
+      Now() - stop_began_ >= settings_.shutdown.shard_grace;
+  return idle && once_.size() == 0 && handed_over;
 }
 
 }  // namespace dogwoodrail::node
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/admission/admission_control.h"
 #include "core/config/config_base.h"
@@ -33,7 +34,9 @@
  public:
   using TimePoint = core::base::TimePoint;
 
-  Node(Settings settings, core::base::EventSink emit);
+  // The loop must outlive the node.
+  Node(boost::asio::io_context& loop, Settings settings,
+       core::base::EventSink emit, Dialect dialect);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -50,6 +53,14 @@
   // The functions below belong to the loop's thread.
   // Takes a configuration into use.
   void SetConfig(std::shared_ptr<const core::config::ConfigState> config);
+  // Adds a system that runs with each tick.
+  void AddSystem(std::function<void(TimePoint)> tick) {
+    further_systems_.push_back(std::move(tick));
+  }
+  // Sets what is called with a time for which the whole process stood still.
+  void SetSuspendedHook(std::function<void(core::base::Duration)> hook) {
+    on_suspended_ = std::move(hook);
+  }
   // Sets what tells whether keyed requests may run on the configuration; they
   // may not before it is set.
   void SetFreshnessCheck(std::function<bool(TimePoint)> check) {
@@ -62,6 +73,7 @@
 
   boost::asio::io_context& loop() { return loop_; }
   wire::Links& links() { return links_; }
+  http::CallerServer& callers() { return caller_server_; }
   MemberSystem& members() { return members_; }
   EntrySystem& entry() { return entry_; }
   ServingSystem& serving() { return serving_; }
@@ -87,20 +99,26 @@
   EntryPorts MakeEntryPorts();
   ServingPorts MakeServingPorts();
   http::CallerServerHooks MakeCallerHooks();
+  void AddPoisonPorts(ServingPorts& ports);
   void SetLinkHandlers();
   void ScheduleTick();
   void Tick();
   void WaitForSignal();
   void CheckStopped();
+  void CheckSuspension();
+  void TickShards(TimePoint now);
+  void ApplyCallerLimits(const core::config::CallerLimits& limits);
+  bool IsDone() const;
   core::base::Result<std::optional<wire::SentFrame>> SendCall(
       const core::base::NodeAddress& to, const wire::CallMessage& message);
   void Reply(const CallOrigin& origin, wire::AnswerMessage message);
 
   Settings settings_;
   core::base::EventSink emit_;
+  Dialect dialect_;
   core::base::NodeAddress self_;
   wire::LinkPeer self_peer_;
-  boost::asio::io_context loop_;
+  boost::asio::io_context& loop_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::signal_set signals_;
   wire::Links links_;
@@ -119,10 +137,14 @@
   std::shared_ptr<const core::config::ConfigState> config_;
   std::function<bool(TimePoint)> is_fresh_;
   Metrics metrics_;
+  std::vector<std::function<void(TimePoint)>> further_systems_;
+  std::function<void(core::base::Duration)> on_suspended_;
+  core::base::Duration suspended_total_{0};
   bool stopping_ = false;
   bool accepting_stopped_ = false;
   bool idle_closed_ = false;
   TimePoint stop_began_;
+  core::base::Duration accepting_stopped_at_{0};  // since stop_began_
   TimePoint members_given_;
 };
 
--- a/src/node/platform_worker.cc
+++ b/src/node/platform_worker.cc
@@ -4,7 +4,7 @@
 
 namespace dogwoodrail::node {
 
-PlatformWorker::PlatformWorker(std::unique_ptr<platform::ObjectStore> store,
+PlatformWorker::PlatformWorker(std::unique_ptr<objectapi::ObjectStore> store,
                                std::size_t thread_count)
     : store_(std::move(store)) {
   for (std::size_t it = 0; it < thread_count; ++it) {
--- a/src/node/platform_worker.h
+++ b/src/node/platform_worker.h
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "platform/object_store.h"
+#include "objectapi/object_store.h"
 
 namespace dogwoodrail::node {
 
@@ -18,9 +18,9 @@
 // result to the node's loop itself.
 class PlatformWorker {
  public:
-  using Job = std::function<void(platform::ObjectStore&)>;
+  using Job = std::function<void(objectapi::ObjectStore&)>;
 
-  PlatformWorker(std::unique_ptr<platform::ObjectStore> store,
+  PlatformWorker(std::unique_ptr<objectapi::ObjectStore> store,
                  std::size_t thread_count);
   // Waits for the jobs under way and drops the others.
   ~PlatformWorker();
@@ -33,7 +33,7 @@
  private:
   void RunJobs();
 
-  std::unique_ptr<platform::ObjectStore> store_;
+  std::unique_ptr<objectapi::ObjectStore> store_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::deque<Job> jobs_;
--- a/src/node/reply_func.cc
+++ b/src/node/reply_func.cc
@@ -14,7 +14,6 @@
 
 using core::base::Duration;
 using core::base::GetReasonSpec;
-using core::base::Ran;
 using core::base::ReasonSpec;
 
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(1000);
@@ -60,20 +59,18 @@
     response.headers.push_back({std::string(http::header::kRetryAfter),
                                 std::to_string(seconds.count())});
   }
-  AddReplyHeaders(response, refusal.request, refusal.ran, refusal.attempts);
+  AddReplyHeaders(response, {refusal.request, refusal.ran, refusal.attempts});
   response.body = MakeBody(refusal, spec);
   return response;
 }
 
-void AddReplyHeaders(http::Response& response,
-                     const core::base::RequestId& request, Ran ran,
-                     std::uint32_t attempts) {
+void AddReplyHeaders(http::Response& response, const AnswerFacts& facts) {
   response.headers.push_back(
-      {std::string(http::header::kRequestId), request.value()});
-  response.headers.push_back(
-      {std::string(http::header::kRan), std::string(core::base::RanText(ran))});
-  response.headers.push_back(
-      {std::string(http::header::kAttempts), std::to_string(attempts)});
+      {std::string(http::header::kRequestId), facts.request.value()});
+  response.headers.push_back({std::string(http::header::kRan),
+                              std::string(core::base::RanText(facts.ran))});
+  response.headers.push_back({std::string(http::header::kAttempts),
+                              std::to_string(facts.attempts)});
 }
 
 }  // namespace dogwoodrail::node
--- a/src/node/reply_func.h
+++ b/src/node/reply_func.h
@@ -21,13 +21,18 @@
   std::string detail;
 };
 
+// A whole answer as a caller is told besides.
+struct AnswerFacts {
+  core::base::RequestId request;
+  core::base::Ran ran = core::base::Ran::kRan;
+  std::uint32_t attempts = 0;
+};
+
 // Builds the HTTP answer of a refusal.
 http::Response MakeRefusal(const RefusalReply& refusal);
 
 // Adds the headers that tell the caller about the request.
-void AddReplyHeaders(http::Response& response,
-                     const core::base::RequestId& request, core::base::Ran ran,
-                     std::uint32_t attempts);
+void AddReplyHeaders(http::Response& response, const AnswerFacts& facts);
 
 }  // namespace dogwoodrail::node
 
--- a/src/node/serving_base.cc
+++ b/src/node/serving_base.cc
@@ -165,19 +165,15 @@
   for (const wire::HeaderField& it : message.headers) {
     request.headers.push_back(http::Header{it.name, it.value});
   }
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      execution.deadline - now);
-  const auto add = [&request](std::string_view name, std::string value) {
-    request.headers.push_back(
-        http::Header{std::string(name), std::move(value)});
-  };
-  add(http::header::kRequestId, message.request.value());
-  add(http::header::kContext, execution.context);
-  add(http::header::kAccount, message.account.value());
-  add(http::header::kImportance,
-      std::string(core::base::ImportanceText(message.importance)));
-  add(http::header::kDeadline, std::to_string(left.count()));
-  add(http::header::kAttempt, std::to_string(message.attempt));
+  ExecutionFacts facts;
+  facts.request = message.request;
+  facts.account = message.account;
+  facts.importance = message.importance;
+  facts.context = execution.context;
+  facts.instance = backend_.instance;
+  facts.remaining = execution.deadline - now;
+  facts.attempt = message.attempt;
+  ports_.dialect.add_execution_headers(request, facts);
   return request;
 }
 
@@ -215,6 +211,7 @@
     }
   }
   answer.load = MakeHint();
+  answer.reached = true;
   ports_.reply(execution->origin, std::move(answer));
   Remove(*execution, now);
   Apply(actions, now);
--- a/src/node/serving_type.h
+++ b/src/node/serving_type.h
@@ -10,6 +10,7 @@
 #include "core/base/request_type.h"
 #include "core/base/time_type.h"
 #include "http/message_type.h"
+#include "node/dialect_type.h"
 #include "node/execution_type.h"
 #include "wire/call_message.h"
 
@@ -18,7 +19,8 @@
 // What the backend server beside this node says of itself.
 struct BackendAnnouncement {
   core::base::ServiceName service;
-  std::string address;  // "ip:port"
+  std::string address;   // "ip:port"
+  std::string instance;  // id of its process, if it has one
   core::base::BackendServerState state =
       core::base::BackendServerState::kStarting;
   core::base::LoadReport load;
@@ -53,6 +55,7 @@
   // Tells that the backend server's announced state changed.
   std::function<void(const BackendAnnouncement&, TimePoint)> on_backend;
   core::base::EventSink emit;
+  Dialect dialect;
 
   // Checks a call before it is offered for admission; optional.
   std::function<std::optional<core::base::Reason>(const wire::CallMessage&,
--- a/src/node/settings_load.cc
+++ b/src/node/settings_load.cc
@@ -87,6 +87,7 @@
                shard.record_lease);
     CheckOrder("shutdown", "idle_grace", Duration(settings.shutdown.idle_grace),
                "deadline", Duration(settings.shutdown.deadline));
+    if (settings.host.adapter != "own") CheckHost();
   }
 
  private:
@@ -107,6 +108,22 @@
     return "unknown section; allowed:" + sections;
   }
 
+  // Checks what a node on another system cannot do without.
+  void CheckHost() {
+    const auto& host = settings.host;
+    CheckGiven("name", host.name.value());
+    CheckGiven("service", host.service.value());
+    CheckGiven("backend", host.backend_address);
+    CheckGiven("ready", host.ready_address);
+    CheckGiven("control", host.control_address);
+  }
+
+  void CheckGiven(const char* key, const std::string& value) {
+    if (!value.empty()) return;
+    FailFile(" [host] " + std::string(key) + ": missing; allowed: " +
+             AllowedValues(*FindSetting("host", key)));
+  }
+
   void CheckDifferent(const char* key_a, const std::string& a,
                       const char* key_b, const std::string& b) {
     if (a.empty() || a != b) return;
--- a/src/node/settings_table.cc
+++ b/src/node/settings_table.cc
@@ -100,6 +100,9 @@
 using Rate = core::rate::RateSettings;
 using Once = core::once::OnceSettings;
 using Poison = core::poison::PoisonSettings;
+using Host = HostSettings;
+using Follow = core::config::FollowSettings;
+using Watch = core::backend::WatchSettings;
 
 constexpr std::uint64_t kKibibyte = 1024;
 constexpr std::uint64_t kMebibyte = 1024 * kKibibyte;
@@ -121,6 +124,7 @@
   const auto rate = &Settings::rate;
   const auto once = &Settings::once;
   const auto poison = &Settings::poison;
+  const auto host = &Settings::host;
   return {
       {"node", "caller", kRequired, Endpoint(node, &Identity::caller_address), "listens for callers' HTTP requests"},
       {"node", "peer", kRequired, Endpoint(node, &Identity::peer_address), "listens for other nodes, TCP and UDP; the address that they know the node by"},
@@ -196,11 +200,24 @@
       {"poison", "crash_bound", kOptional, Count(1, 100, poison, &Poison::crash_bound), "crashes after which a request is refused"},
       {"poison", "suspect_time", kOptional, Time(seconds(1), hours(24), poison, &Poison::suspect_time), "time for which a crash counts"},
       {"poison", "conviction_time", kOptional, Time(seconds(1), hours(24), poison, &Poison::conviction_time), "time for which such a request is refused"},
+      {"features", "shards", kOptional, Flag(&Settings::features, &FeatureSettings::shards), "keep shards over pairs of nodes: once-only records, poison book, rate grantors"},
+      {"host", "adapter", kOptional, ChoiceSetting{Access(host, &Host::adapter), {"own", "platform"}}, "the system that the node lives on; with platform the other settings of this section are required"},
+      {"host", "name", kOptional, Name(host, &Host::name), "name of the node in the directory"},
+      {"host", "service", kOptional, Name(host, &Host::service), "service of the backend server beside the node"},
+      {"host", "backend", kOptional, Endpoint(host, &Host::backend_address), "where the backend server listens"},
+      {"host", "ready", kOptional, Endpoint(host, &Host::ready_address), "listens for questions whether the node is ready"},
+      {"host", "control", kOptional, Endpoint(host, &Host::control_address), "listens for heartbeats of the backend server"},
+      {"host", "retry_percent", kOptional, Count(0, 100, host, &Host::retry_percent), "retries for 100 fresh requests of a route"},
+      {"host", "probe_timeout", kOptional, Time(milliseconds(10), minutes(1), host, &Host::probe_timeout), "time for a health check"},
+      {"host", "watch_wait", kOptional, Time(milliseconds(100), seconds(30), host, &Host::follow, &Follow::watch_wait), "time for which one watch of the configuration waits"},
+      {"host", "key_lease", kOptional, Time(milliseconds(500), minutes(10), host, &Host::follow, &Follow::key_lease), "time for which a confirmed configuration admits requests with a key"},
+      {"host", "silence_limit", kOptional, Time(milliseconds(500), minutes(10), host, &Host::watch, &Watch::silence_limit), "silence after which the backend server counts as gone"},
       {"log", "level", kOptional, ChoiceSetting{Access(&Settings::log, &LogSettings::level), {"debug", "info", "warning", "error"}}, "least level that is logged"},
       {"log", "file", kOptional, TextSetting{Access(&Settings::log, &LogSettings::file)}, "file that the log is appended to; empty for standard error"},
       {"log", "debug", kOptional, ChoiceListSetting{Access(&Settings::log, &LogSettings::debug), CategoryNames()}, "categories whose events of level debug are logged too"},
       {"log", "timeline_events", kOptional, Count(100, 1'000'000, &Settings::log, &LogSettings::timeline_events), "events that the node keeps for the time line"},
       {"shutdown", "idle_grace", kOptional, Time(Duration(0), minutes(5), &Settings::shutdown, &ShutdownSettings::idle_grace), "time for callers on idle connections to learn of the stop"},
+      {"shutdown", "serve_grace", kOptional, Time(Duration(0), minutes(5), &Settings::shutdown, &ShutdownSettings::serve_grace), "time for which calls of other nodes are still served"},
       {"shutdown", "shard_grace", kOptional, Time(Duration(0), minutes(5), &Settings::shutdown, &ShutdownSettings::shard_grace), "longest wait for shards to be handed over"},
       {"shutdown", "deadline", kOptional, Time(Duration(0), hours(1), &Settings::shutdown, &ShutdownSettings::deadline), "time for requests under way to end after SIGTERM"},
   };
--- a/src/node/settings_type.h
+++ b/src/node/settings_type.h
@@ -8,8 +8,11 @@
 
 #include "core/admission/admission_type.h"
 #include "core/attempt/attempt_type.h"
+#include "core/backend/backend_watch.h"
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
+#include "core/config/config_follower.h"
+#include "core/member/directory.h"
 #include "core/member/member_settings_type.h"
 #include "core/once/once_type.h"
 #include "core/poison/poison_type.h"
@@ -54,12 +57,36 @@
 struct ShutdownSettings {
   // Time for callers on kept-alive connections to learn of the stop.
   std::chrono::milliseconds idle_grace = std::chrono::milliseconds(500);
+  // Time for which calls of other nodes are still served.
+  std::chrono::milliseconds serve_grace{0};
   // Longest wait for shards to be handed over once all else is done.
   std::chrono::milliseconds shard_grace = std::chrono::seconds(3);
   // What is still under way after this time is ended.
   std::chrono::milliseconds deadline = std::chrono::seconds(30);
 };
 
+// Parts of a node that a deployment may do without, section [features].
+struct FeatureSettings {
+  // Shards over pairs of nodes: once-only records, poison book, rate grantors
+  // that survive the loss of a node.
+  bool shards = true;
+};
+
+// The system that hosts the node, section [host].
+struct HostSettings {
+  std::string adapter = "own";  // "own" or "platform"
+  core::base::NodeName name;    // of this node in the directory
+  core::base::ServiceName service;
+  std::string backend_address;  // "ip:port" of the backend server
+  std::string ready_address;    // "ip:port" where readiness is asked for
+  std::string control_address;  // "ip:port" for the backend server's heartbeats
+  std::uint32_t retry_percent = 5;
+  std::chrono::milliseconds probe_timeout = std::chrono::seconds(1);
+  core::config::FollowSettings follow;
+  core::member::DirectorySettings directory;
+  core::backend::WatchSettings watch;
+};
+
 // All settings of a node process.
 struct Settings {
   IdentitySettings identity;
@@ -78,6 +105,8 @@
   core::once::OnceSettings once;
   core::poison::PoisonSettings poison;
   ServingSettings serving;
+  FeatureSettings features;
+  HostSettings host;
   LogSettings log;
   ShutdownSettings shutdown;
 };
--- a/src/node/shard_records.cc
+++ b/src/node/shard_records.cc
@@ -3,7 +3,7 @@
 #include <variant>
 
 #include "node/node_base.h"
-#include "platform/shard_codec.h"
+#include "objectapi/shard_codec.h"
 
 namespace dogwoodrail::node {
 
@@ -17,17 +17,17 @@
 
 namespace {
 
-ShardPlatformAnswer Read(platform::ObjectStore& store, ShardIndex shard) {
+ShardPlatformAnswer Read(objectapi::ObjectStore& store, ShardIndex shard) {
   ShardPlatformAnswer answer;
   answer.shard = shard;
-  const auto object = store.Get(platform::ShardKey(shard));
+  const auto object = store.Get(objectapi::ShardKey(shard));
   if (!object) {
     if (object.error().code == ErrorCode::kNotFound) {
       answer.outcome = PlatformOutcome::kAbsent;
     }
     return answer;
   }
-  const auto record = platform::ReadShardRecord(shard, object->value);
+  const auto record = objectapi::ReadShardRecord(shard, object->value);
   if (!record) return answer;
   answer.outcome = PlatformOutcome::kFound;
   answer.version = RecordVersion(object->version.value());
@@ -35,14 +35,14 @@
   return answer;
 }
 
-ShardPlatformAnswer Write(platform::ObjectStore& store,
+ShardPlatformAnswer Write(objectapi::ObjectStore& store,
                           const WriteShardRecord& write) {
   ShardPlatformAnswer answer;
   answer.shard = write.record.shard;
   const auto version =
-      store.PutIf(platform::ShardKey(write.record.shard),
-                  platform::WriteShardRecord(write.record),
-                  platform::ObjectVersion(write.if_version.value()));
+      store.PutIf(objectapi::ShardKey(write.record.shard),
+                  objectapi::WriteShardRecord(write.record),
+                  objectapi::ObjectVersion(write.if_version.value()));
   if (version) {
     answer.outcome = PlatformOutcome::kWritten;
     answer.version = RecordVersion(version->value());
@@ -74,7 +74,7 @@
     return;
   }
   worker_.Submit(
-      [this, &node = node_, action, shard](platform::ObjectStore& store) {
+      [this, &node = node_, action, shard](objectapi::ObjectStore& store) {
         const auto* w = std::get_if<WriteShardRecord>(&action);
         const auto answer = w ? Write(store, *w) : Read(store, shard);
         node.Post([this, answer] { OnAnswer(answer); });
--- a/src/platform/config_codec.cc
+++ b/src/objectapi/config_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/config_codec.h"
+#include "objectapi/config_codec.h"
 
 #include <chrono>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include "json/json_reader.h"
 #include "json/json_writer.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 using core::base::ErrorCode;
@@ -24,6 +24,7 @@
 using core::config::KeyEntry;
 using core::config::KeyState;
 using core::config::Route;
+using core::config::ServiceShare;
 using core::config::Ticket;
 using json::JsonNode;
 using json::JsonReader;
@@ -52,6 +53,14 @@
   return state == EntryState::kActive || in.Has(name);
 }
 
+Importance ReadImportance(JsonReader& in) {
+  std::vector<std::string_view> names;
+  for (std::size_t it = 0; it < core::base::kImportanceCount; ++it) {
+    names.push_back(core::base::ImportanceText(static_cast<Importance>(it)));
+  }
+  return static_cast<Importance>(in.Choice("importance", names));
+}
+
 Result<Account> ReadAccount(const JsonNode& node) {
   JsonReader in(node, "account");
   Account account;
@@ -63,6 +72,7 @@
   if (IsFieldWanted(in, account.state, "burst")) {
     account.burst = Uint32(in, "burst");
   }
+  if (in.Has("importance")) account.importance = ReadImportance(in);
   if (auto result = in.Finish(); !result) {
     return tl::make_unexpected(result.error());
   }
@@ -83,22 +93,42 @@
   return key;
 }
 
+Result<ServiceShare> ReadServiceShare(const JsonNode& node) {
+  JsonReader in(node, "share");
+  ServiceShare share;
+  share.service = core::base::ServiceName(in.String("service"));
+  share.weight = Uint32(in, "weight");
+  if (auto result = in.Finish(); !result) {
+    return tl::make_unexpected(result.error());
+  }
+  return share;
+}
+
+// Reads the services that a route's requests are shared among.
+void ReadSplit(JsonReader& in, Route& route) {
+  for (const JsonNode* node : in.Array("split")) {
+    const Result<ServiceShare> share = ReadServiceShare(*node);
+    if (!share) return in.Fail("split: " + share.error().detail);
+    route.split.push_back(*share);
+  }
+}
+
 // Reads the fields of a route that stays.
 void ReadRoutePolicy(JsonReader& in, Route& route) {
-  std::vector<std::string_view> importances;
-  for (std::size_t it = 0; it < core::base::kImportanceCount; ++it) {
-    importances.push_back(
-        core::base::ImportanceText(static_cast<Importance>(it)));
-  }
   route.path_prefix = in.String("path_prefix");
   route.service = core::base::ServiceName(in.String("service"));
-  route.importance =
-      static_cast<Importance>(in.Choice("importance", importances));
+  route.importance = ReadImportance(in);
   route.idempotent = in.Bool("idempotent");
   route.open_to_all = in.Bool("open_to_all");
   route.max_attempts = Uint32(in, "max_attempts");
   route.retry_percent = Uint32(in, "retry_percent");
   route.timeout = std::chrono::milliseconds(Uint32(in, "timeout_ms"));
+  if (in.Has("host")) route.host = in.String("host");
+  if (in.Has("latency_objective_ms")) {
+    route.latency_objective =
+        std::chrono::milliseconds(Uint32(in, "latency_objective_ms"));
+  }
+  if (in.Has("split")) ReadSplit(in, route);
 }
 
 Result<Route> ReadRoute(const JsonNode& node) {
@@ -148,6 +178,10 @@
   node.addValue("name", account.name.value());
   node.addValue("rate_per_s", account.rate_per_s);
   node.addValue("burst", account.burst);
+  if (account.importance) {
+    node.addValue("importance",
+                  std::string(core::base::ImportanceText(*account.importance)));
+  }
   node.addValue("state", EntryStateText(account.state));
 }
 
@@ -159,6 +193,15 @@
                 key.state == KeyState::kActive ? "active" : "withdrawn");
 }
 
+void WriteSplit(JsonNode& node, const Route& route) {
+  JsonNode& shares = json::AddArray(node, "split");
+  for (const ServiceShare& it : route.split) {
+    JsonNode& share = json::AddObject(shares);
+    share.addValue("service", it.service.value());
+    share.addValue("weight", it.weight);
+  }
+}
+
 void WriteRoute(JsonNode& array, const Route& route) {
   JsonNode& node = json::AddObject(array);
   node.addValue("name", route.name.value());
@@ -171,6 +214,12 @@
   node.addValue("max_attempts", route.max_attempts);
   node.addValue("retry_percent", route.retry_percent);
   node.addValue("timeout_ms", static_cast<std::int64_t>(route.timeout.count()));
+  if (!route.host.empty()) node.addValue("host", route.host);
+  if (route.latency_objective.count() > 0) {
+    node.addValue("latency_objective_ms",
+                  static_cast<std::int64_t>(route.latency_objective.count()));
+  }
+  if (!route.split.empty()) WriteSplit(node, route);
   node.addValue("state", EntryStateText(route.state));
 }
 
@@ -304,4 +353,4 @@
   return ConfigHead{std::move(*state), std::move(*ticket)};
 }
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
--- a/src/platform/config_codec.h
+++ b/src/objectapi/config_codec.h
@@ -1,5 +1,5 @@
-#ifndef DOGWOODRAIL_PLATFORM_CONFIG_CODEC_H_
-#define DOGWOODRAIL_PLATFORM_CONFIG_CODEC_H_
+#ifndef DOGWOODRAIL_OBJECTAPI_CONFIG_CODEC_H_
+#define DOGWOODRAIL_OBJECTAPI_CONFIG_CODEC_H_
 
 #include <string>
 
@@ -7,7 +7,7 @@
 #include "core/config/config_base.h"
 #include "core/config/config_type.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 // The configuration in force with the ticket that produced it; the value of the
 // object config/head.
@@ -31,6 +31,6 @@
 std::string EncodeHead(const ConfigHead& head);
 core::base::Result<ConfigHead> DecodeHead(const std::string& text);
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
-#endif  // DOGWOODRAIL_PLATFORM_CONFIG_CODEC_H_
+#endif  // DOGWOODRAIL_OBJECTAPI_CONFIG_CODEC_H_
--- a/src/platform/config_store.cc
+++ b/src/objectapi/config_store.cc
@@ -1,4 +1,4 @@
-#include "platform/config_store.h"
+#include "objectapi/config_store.h"
 
 #include <algorithm>
 #include <charconv>
@@ -10,7 +10,7 @@
 
 #include "core/config/config_cmd.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 using core::base::Error;
@@ -215,4 +215,4 @@
   return numbers;
 }
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
--- a/src/platform/config_store.h
+++ b/src/objectapi/config_store.h
@@ -1,5 +1,5 @@
-#ifndef DOGWOODRAIL_PLATFORM_CONFIG_STORE_H_
-#define DOGWOODRAIL_PLATFORM_CONFIG_STORE_H_
+#ifndef DOGWOODRAIL_OBJECTAPI_CONFIG_STORE_H_
+#define DOGWOODRAIL_OBJECTAPI_CONFIG_STORE_H_
 
 #include <chrono>
 #include <functional>
@@ -8,10 +8,10 @@
 
 #include "core/base/error_type.h"
 #include "core/config/config_type.h"
-#include "platform/config_codec.h"
-#include "platform/object_store.h"
+#include "objectapi/config_codec.h"
+#include "objectapi/object_store.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 // The configuration as read from the Object API. Version 0 and an empty state
 // if no ticket was ever accepted.
@@ -74,6 +74,6 @@
   ConfigStoreOptions options_;
 };
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
-#endif  // DOGWOODRAIL_PLATFORM_CONFIG_STORE_H_
+#endif  // DOGWOODRAIL_OBJECTAPI_CONFIG_STORE_H_
--- a/src/platform/http_exchange.cc
+++ b/src/objectapi/http_exchange.cc
@@ -1,4 +1,4 @@
-#include "platform/http_exchange.h"
+#include "objectapi/http_exchange.h"
 
 #include <cxxtools/connectable.h>
 #include <cxxtools/http/client.h>
@@ -14,7 +14,7 @@
 #include <istream>
 #include <string_view>
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 using core::base::ErrorCode;
@@ -142,4 +142,4 @@
   }
 }
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
--- a/src/platform/http_exchange.h
+++ b/src/objectapi/http_exchange.h
@@ -1,5 +1,5 @@
-#ifndef DOGWOODRAIL_PLATFORM_HTTP_EXCHANGE_H_
-#define DOGWOODRAIL_PLATFORM_HTTP_EXCHANGE_H_
+#ifndef DOGWOODRAIL_OBJECTAPI_HTTP_EXCHANGE_H_
+#define DOGWOODRAIL_OBJECTAPI_HTTP_EXCHANGE_H_
 
 #include <chrono>
 #include <cstddef>
@@ -9,7 +9,7 @@
 
 #include "core/base/error_type.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 constexpr std::size_t kMaxAnswerBytes = std::size_t{16} << 20U;
 
@@ -37,6 +37,6 @@
                                             const HttpCall& call,
                                             std::chrono::milliseconds timeout);
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
-#endif  // DOGWOODRAIL_PLATFORM_HTTP_EXCHANGE_H_
+#endif  // DOGWOODRAIL_OBJECTAPI_HTTP_EXCHANGE_H_
--- a/src/platform/http_object_store.cc
+++ b/src/objectapi/http_object_store.cc
@@ -1,12 +1,12 @@
-#include "platform/http_object_store.h"
+#include "objectapi/http_object_store.h"
 
 #include <limits>
 #include <utility>
 
 #include "json/json_reader.h"
-#include "platform/http_exchange.h"
+#include "objectapi/http_exchange.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 using core::base::Error;
@@ -154,4 +154,4 @@
   return rows;
 }
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
--- a/src/platform/http_object_store.h
+++ b/src/objectapi/http_object_store.h
@@ -1,5 +1,5 @@
-#ifndef DOGWOODRAIL_PLATFORM_HTTP_OBJECT_STORE_H_
-#define DOGWOODRAIL_PLATFORM_HTTP_OBJECT_STORE_H_
+#ifndef DOGWOODRAIL_OBJECTAPI_HTTP_OBJECT_STORE_H_
+#define DOGWOODRAIL_OBJECTAPI_HTTP_OBJECT_STORE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "platform/object_store.h"
+#include "objectapi/object_store.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 // Where the Object API is and how long one call may take.
 struct HttpObjectStoreOptions {
@@ -38,6 +38,6 @@
   const HttpObjectStoreOptions options_;
 };
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
-#endif  // DOGWOODRAIL_PLATFORM_HTTP_OBJECT_STORE_H_
+#endif  // DOGWOODRAIL_OBJECTAPI_HTTP_OBJECT_STORE_H_
--- a/src/platform/object_store.h
+++ b/src/objectapi/object_store.h
@@ -1,5 +1,5 @@
-#ifndef DOGWOODRAIL_PLATFORM_OBJECT_STORE_H_
-#define DOGWOODRAIL_PLATFORM_OBJECT_STORE_H_
+#ifndef DOGWOODRAIL_OBJECTAPI_OBJECT_STORE_H_
+#define DOGWOODRAIL_OBJECTAPI_OBJECT_STORE_H_
 
 #include <chrono>
 #include <optional>
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "core/base/error_type.h"
-#include "platform/object_type.h"
+#include "objectapi/object_type.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 // The platform's Object API, as much of it as is used. Calls block; another
 // Object API is one more implementation of this class.
@@ -39,6 +39,6 @@
       const std::string& prefix) = 0;
 };
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
-#endif  // DOGWOODRAIL_PLATFORM_OBJECT_STORE_H_
+#endif  // DOGWOODRAIL_OBJECTAPI_OBJECT_STORE_H_
--- a/src/platform/object_type.h
+++ b/src/objectapi/object_type.h
@@ -1,12 +1,12 @@
-#ifndef DOGWOODRAIL_PLATFORM_OBJECT_TYPE_H_
-#define DOGWOODRAIL_PLATFORM_OBJECT_TYPE_H_
+#ifndef DOGWOODRAIL_OBJECTAPI_OBJECT_TYPE_H_
+#define DOGWOODRAIL_OBJECTAPI_OBJECT_TYPE_H_
 
 #include <cstddef>
 #include <string>
 
 #include "core/base/id_type.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 // Key of an object: segments of a-z, 0-9, '_' and '-', parted by '/'.
 using ObjectKey = core::base::StrongString<struct ObjectKeyTag>;
@@ -28,6 +28,6 @@
   ObjectVersion version;
 };
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
-#endif  // DOGWOODRAIL_PLATFORM_OBJECT_TYPE_H_
+#endif  // DOGWOODRAIL_OBJECTAPI_OBJECT_TYPE_H_
--- a/src/platform/shard_codec.cc
+++ b/src/objectapi/shard_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/shard_codec.h"
+#include "objectapi/shard_codec.h"
 
 #include <charconv>
 #include <cstdint>
@@ -7,7 +7,7 @@
 #include "json/json_reader.h"
 #include "json/json_writer.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 using core::shard::MemberId;
@@ -97,4 +97,4 @@
   return record;
 }
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
--- a/src/platform/shard_codec.h
+++ b/src/objectapi/shard_codec.h
@@ -1,13 +1,13 @@
-#ifndef DOGWOODRAIL_PLATFORM_SHARD_CODEC_H_
-#define DOGWOODRAIL_PLATFORM_SHARD_CODEC_H_
+#ifndef DOGWOODRAIL_OBJECTAPI_SHARD_CODEC_H_
+#define DOGWOODRAIL_OBJECTAPI_SHARD_CODEC_H_
 
 #include <string>
 
 #include "core/base/error_type.h"
 #include "core/shard/shard_type.h"
-#include "platform/object_type.h"
+#include "objectapi/object_type.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 // Returns the key of a shard's record.
 ObjectKey ShardKey(core::shard::ShardIndex shard);
@@ -17,6 +17,6 @@
 core::base::Result<core::shard::ShardRecord> ReadShardRecord(
     core::shard::ShardIndex shard, const std::string& text);
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
-#endif  // DOGWOODRAIL_PLATFORM_SHARD_CODEC_H_
+#endif  // DOGWOODRAIL_OBJECTAPI_SHARD_CODEC_H_
--- a/src/wire/call_codec.cc
+++ b/src/wire/call_codec.cc
@@ -129,6 +129,7 @@
   answer.add_headers(headers);
   answer.add_body(body);
   answer.add_load(load);
+  answer.add_reached(message.reached);
   fbb.Finish(answer.Finish());
   return EncodeFrame(FrameKind::kAnswer, fbb);
 }
@@ -149,6 +150,7 @@
   message.status = answer->status();
   message.headers = ReadHeaders(answer->headers());
   message.body = ReadBody(answer->body());
+  message.reached = answer->reached();
   if (const fbs::LoadHint* load = answer->load(); load != nullptr) {
     message.load =
         core::route::LoadHint{load->in_flight(), load->limit(), load->queued()};
--- a/src/wire/call_generated.h
+++ b/src/wire/call_generated.h
@@ -541,7 +541,8 @@
     VT_STATUS = 14,
     VT_HEADERS = 16,
     VT_BODY = 18,
-    VT_LOAD = 20
+    VT_LOAD = 20,
+    VT_REACHED = 22
   };
   uint64_t call() const { return GetField<uint64_t>(VT_CALL, 0); }
   uint8_t ran() const { return GetField<uint8_t>(VT_RAN, 0); }
@@ -565,6 +566,7 @@
   const dogwoodrail::wire::fbs::LoadHint* load() const {
     return GetPointer<const dogwoodrail::wire::fbs::LoadHint*>(VT_LOAD);
   }
+  bool reached() const { return GetField<uint8_t>(VT_REACHED, 0) != 0; }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -578,7 +580,7 @@
            verifier.VerifyVectorOfTables(headers()) &&
            VerifyOffset(verifier, VT_BODY) && verifier.VerifyVector(body()) &&
            VerifyOffset(verifier, VT_LOAD) && verifier.VerifyTable(load()) &&
-           verifier.EndTable();
+           VerifyField<uint8_t>(verifier, VT_REACHED, 1) && verifier.EndTable();
   }
 };
 
@@ -616,6 +618,10 @@
   void add_load(flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load) {
     fbb_.AddOffset(Answer::VT_LOAD, load);
   }
+  void add_reached(bool reached) {
+    fbb_.AddElement<uint8_t>(Answer::VT_REACHED, static_cast<uint8_t>(reached),
+                             0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -634,7 +640,8 @@
         flatbuffers::Offset<dogwoodrail::wire::fbs::HeaderField>>>
         headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
-    flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0) {
+    flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0,
+    bool reached = false) {
   AnswerBuilder builder_(_fbb);
   builder_.add_retry_after_us(retry_after_us);
   builder_.add_call(call);
@@ -643,6 +650,7 @@
   builder_.add_headers(headers);
   builder_.add_status(status);
   builder_.add_attempts_unspent(attempts_unspent);
+  builder_.add_reached(reached);
   builder_.add_reason(reason);
   builder_.add_ran(ran);
   return builder_.Finish();
@@ -660,16 +668,17 @@
     const std::vector<flatbuffers::Offset<dogwoodrail::wire::fbs::HeaderField>>*
         headers = nullptr,
     const std::vector<uint8_t>* body = nullptr,
-    flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0) {
+    flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0,
+    bool reached = false) {
   auto headers__ =
       headers ? _fbb.CreateVector<
                     flatbuffers::Offset<dogwoodrail::wire::fbs::HeaderField>>(
                     *headers)
               : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
-  return dogwoodrail::wire::fbs::CreateAnswer(_fbb, call, ran, reason,
-                                              retry_after_us, attempts_unspent,
-                                              status, headers__, body__, load);
+  return dogwoodrail::wire::fbs::CreateAnswer(
+      _fbb, call, ran, reason, retry_after_us, attempts_unspent, status,
+      headers__, body__, load, reached);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/wire/call_message.h
+++ b/src/wire/call_message.h
@@ -52,6 +52,7 @@
   std::vector<HeaderField> headers;
   std::string body;
   core::route::LoadHint load;
+  bool reached = false;  // the backend server was sent the request
 };
 
 // Encode messages as whole frames.
--- a/tests/integration/common/fleet.cc
+++ b/tests/integration/common/fleet.cc
@@ -6,8 +6,8 @@
 #include <stdexcept>
 #include <utility>
 
-#include "platform/config_store.h"
-#include "platform/http_object_store.h"
+#include "objectapi/config_store.h"
+#include "objectapi/http_object_store.h"
 #include "standins/common/json_func.h"
 #include "standins/common/request_func.h"
 
@@ -227,12 +227,12 @@
   ticket.id = core::config::TicketId(id);
   ticket.author = "test";
   ticket.time = core::base::WallTime(standin::WallNow());
-  platform::HttpObjectStoreOptions options;
+  objectapi::HttpObjectStoreOptions options;
   options.ip = "127.0.0.1";
   options.port = platform_port_;
-  platform::HttpObjectStore objects(options);
+  objectapi::HttpObjectStore objects(options);
   const auto number =
-      platform::ConfigStore(objects).SubmitTicket(std::move(ticket));
+      objectapi::ConfigStore(objects).SubmitTicket(std::move(ticket));
   if (!number) throw std::runtime_error("ticket: " + number.error().detail);
 }
 
--- a/tests/integration/operator/ticket_test.cc
+++ b/tests/integration/operator/ticket_test.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/http_exchange.h"
+#include "objectapi/http_exchange.h"
 #include "tests/integration/common/process.h"
 
 namespace dogwoodrail::integration {
@@ -89,14 +89,14 @@
   }
 
  private:
-  core::base::Result<platform::HttpAnswer> Call(const std::string& method,
-                                                const std::string& path,
-                                                const std::string& body) {
-    platform::HttpCall call;
+  core::base::Result<objectapi::HttpAnswer> Call(const std::string& method,
+                                                 const std::string& path,
+                                                 const std::string& body) {
+    objectapi::HttpCall call;
     call.method = method;
     call.path = path;
     call.body = body;
-    return platform::ExchangeOnce("127.0.0.1", control_, call, kStartTimeout);
+    return objectapi::ExchangeOnce("127.0.0.1", control_, call, kStartTimeout);
   }
 
   std::string folder_;
--- a/tests/unit/platform/canned_server.h
+++ b/tests/unit/objectapi/canned_server.h
@@ -14,7 +14,7 @@
 #include <thread>
 #include <utility>
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 // What a canned server does with each connection.
 struct CannedBehaviour {
@@ -93,6 +93,6 @@
   std::thread thread_;
 };
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
 #endif  // TESTS_UNIT_PLATFORM_CANNED_SERVER_H_
--- a/tests/unit/platform/config_codec_test.cc
+++ b/tests/unit/objectapi/config_codec_test.cc
@@ -1,11 +1,11 @@
-#include "platform/config_codec.h"
+#include "objectapi/config_codec.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
 
 #include "core/config/config_cmd.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 constexpr const char* kTicketFile = R"({
@@ -118,4 +118,4 @@
 }
 
 }  // namespace
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
--- a/tests/unit/platform/config_store_test.cc
+++ b/tests/unit/objectapi/config_store_test.cc
@@ -1,11 +1,11 @@
-#include "platform/config_store.h"
+#include "objectapi/config_store.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
 
-#include "tests/unit/platform/fake_object_store.h"
+#include "tests/unit/objectapi/fake_object_store.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 using core::base::ErrorCode;
@@ -165,4 +165,4 @@
 }
 
 }  // namespace
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
--- a/tests/unit/platform/fake_object_store.h
+++ b/tests/unit/objectapi/fake_object_store.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "platform/object_store.h"
+#include "objectapi/object_store.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 
 // What happens to one call of PutIf.
 enum class PutFault {
@@ -114,6 +114,6 @@
   std::function<void()> late_;
 };
 
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
 
 #endif  // TESTS_UNIT_PLATFORM_FAKE_OBJECT_STORE_H_
--- a/tests/unit/platform/http_object_store_test.cc
+++ b/tests/unit/objectapi/http_object_store_test.cc
@@ -1,11 +1,11 @@
-#include "platform/http_object_store.h"
+#include "objectapi/http_object_store.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
 
-#include "tests/unit/platform/canned_server.h"
+#include "tests/unit/objectapi/canned_server.h"
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 using core::base::ErrorCode;
@@ -178,4 +178,4 @@
 }
 
 }  // namespace
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
--- a/tests/unit/platform/shard_codec_test.cc
+++ b/tests/unit/objectapi/shard_codec_test.cc
@@ -1,8 +1,8 @@
-#include "platform/shard_codec.h"
+#include "objectapi/shard_codec.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace dogwoodrail::platform {
+namespace dogwoodrail::objectapi {
 namespace {
 
 using core::base::Incarnation;
@@ -45,4 +45,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
-}  // namespace dogwoodrail::platform
+}  // namespace dogwoodrail::objectapi
