--- a/src/core/attempt/attempt_budget.h
+++ b/src/core/attempt/attempt_budget.h
@@ -24,6 +24,9 @@
   // Takes one attempt for a dispatch; false if none is left.
   bool TrySpend();
 
+  // Gives back an attempt that reached no backend server.
+  void Refund() { ++remaining_; }
+
   // Sets aside attempts for the calls below a dispatch; a quarter stays here
   // for retries and for calls made at the same time.
   AttemptShare Reserve();
--- a/src/core/attempt/attempt_type.h
+++ b/src/core/attempt/attempt_type.h
@@ -28,6 +28,9 @@
   base::Ran ran = base::Ran::kUnknown;
   base::Reason reason = base::Reason::kInternal;
   AttemptCount attempts_left = 0;
+  bool inner = false;              // made by a backend server
+  bool reached = true;             // the backend server was sent the request
+  std::uint32_t redirects = 0;     // dispatches before that reached none
   std::uint32_t retries_made = 0;  // of this call, at this hop
   base::Duration deadline_left{0};
   bool other_server = false;  // an untried backend server is known
@@ -45,6 +48,14 @@
 struct RetrySettings {
   base::Duration backoff_base{std::chrono::milliseconds{10}};
   base::Duration backoff_cap{std::chrono::milliseconds{500}};
+  // Dispatches that reach no backend server may be repeated so often at once,
+  // without taking from the budget.
+  std::uint32_t free_redirects = 0;
+  // Retries in ten seconds that need no fresh requests.
+  std::uint32_t free_retries = 3;
+  // Repeat requests of callers whose outcome is unknown; if not, that is left
+  // to the callers, and only calls within chains are repeated.
+  bool repeat_unknown = true;
 };
 
 }  // namespace dogwoodrail::core::attempt
--- a/src/core/attempt/retry_budget.cc
+++ b/src/core/attempt/retry_budget.cc
@@ -8,13 +8,12 @@
 
 // Price of a retry, in the hundredths that the percentage earns.
 constexpr std::int64_t kRetryPrice = 100;
-// Retries in a window that need no fresh requests.
-constexpr std::int64_t kFreeRetries = 3;
 
 }  // namespace
 
-RetryBudget::RetryBudget(std::uint32_t retry_percent)
-    : retry_percent_(retry_percent) {}
+RetryBudget::RetryBudget(std::uint32_t retry_percent,
+                         std::uint32_t free_retries)
+    : retry_percent_(retry_percent), free_retries_(free_retries) {}
 
 void RetryBudget::SetPercent(std::uint32_t retry_percent) {
   retry_percent_ = retry_percent;
@@ -32,7 +31,7 @@
       std::accumulate(earned_.begin(), earned_.end(), std::int64_t{0});
   const auto spent =
       std::accumulate(spent_.begin(), spent_.end(), std::int64_t{0});
-  const std::int64_t allowed = earned + kFreeRetries * kRetryPrice;
+  const std::int64_t allowed = earned + free_retries_ * kRetryPrice;
   if (spent + kRetryPrice > allowed) return false;
   spent_.at(current_second_ % kSlots) += kRetryPrice;
   return true;
--- a/src/core/attempt/retry_budget.h
+++ b/src/core/attempt/retry_budget.h
@@ -13,7 +13,8 @@
 // that a route with little traffic can retry at all.
 class RetryBudget {
  public:
-  explicit RetryBudget(std::uint32_t retry_percent);
+  explicit RetryBudget(std::uint32_t retry_percent,
+                       std::uint32_t free_retries = kFreeRetries);
 
   // Changes the share, for requests from now on.
   void SetPercent(std::uint32_t retry_percent);
@@ -25,12 +26,15 @@
   bool TryRetry(base::TimePoint now);
 
  private:
+  // Retries in a window that need no fresh requests.
+  static constexpr std::uint32_t kFreeRetries = 3;
   static constexpr std::int64_t kSlots = 10;
 
   // Drops the slots that have left the window.
   void Advance(base::TimePoint now);
 
   std::uint32_t retry_percent_;
+  std::uint32_t free_retries_;
   std::int64_t current_second_ = 0;
   // Hundredths of a retry: earned minus spent, by second.
   std::array<std::int64_t, kSlots> earned_{};
--- a/src/core/attempt/retry_func.cc
+++ b/src/core/attempt/retry_func.cc
@@ -19,6 +19,7 @@
       reason == base::Reason::kBackendServerFailed && ran != base::Ran::kNotRun;
   if (may_crash) return FailureClass::kFinal;
   switch (reason) {
+    case base::Reason::kNoBackendServer:
     case base::Reason::kBackendServerLeaving:
     case base::Reason::kShuttingDown:
       return FailureClass::kRedirect;
@@ -66,7 +67,13 @@
   if (!IsSafeToRetry(question)) return GiveUp(question.reason);
   if (!question.other_server) return GiveUp(question.reason);
   if (question.attempts_left == 0) return GiveUp(question.reason);
-  const bool at_once = kind == FailureClass::kRedirect;
+  const bool unknown = question.ran != base::Ran::kNotRun;
+  if (unknown && !settings.repeat_unknown && !question.inner) {
+    return GiveUp(question.reason);
+  }
+  const bool free = question.ran == base::Ran::kNotRun && !question.reached &&
+                    question.redirects < settings.free_redirects;
+  const bool at_once = kind == FailureClass::kRedirect || free;
   const base::Duration backoff =
       at_once ? base::Duration{0}
               : Backoff(question.retries_made, settings, random);
--- a/src/core/base/reason_table.cc
+++ b/src/core/base/reason_table.cc
@@ -42,6 +42,7 @@
     {Reason::kClaimUnavailable, "claim_unavailable", 503, true, "the record of the Idempotency-Key cannot be reached; send the request again with the same key"},
     {Reason::kShuttingDown, "shutting_down", 503, true, "the node is shutting down"},
     {Reason::kInternal, "internal", 500, false, "internal error"},
+    {Reason::kChainOverloaded, "chain_overloaded", 503, true, "a service that the request leads to is at its limit"},
 }};
 // clang-format on
 
--- a/src/core/base/request_type.h
+++ b/src/core/base/request_type.h
@@ -58,6 +58,7 @@
   kClaimUnavailable,
   kShuttingDown,
   kInternal,
+  kChainOverloaded,
   kCount,
 };
 
--- /dev/null
+++ b/src/core/chain/call_graph.h
@@ -0,0 +1,53 @@
+#ifndef DOGWOODRAIL_CORE_CHAIN_CALL_GRAPH_H_
+#define DOGWOODRAIL_CORE_CHAIN_CALL_GRAPH_H_
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+
+#include "core/base/id_type.h"
+#include "core/base/time_type.h"
+
+namespace dogwoodrail::core::chain {
+
+// Learns which routes the executions of a backend server call in turn. A call
+// expires with the request that made it, so the execution whose deadline it
+// carries is its parent; calls with a shorter deadline of their own tell
+// nothing. What was seen fades, so that a changed service is learned anew.
+class CallGraph {
+ public:
+  // Notes an execution with the deadline that the backend server was told.
+  void OnStarted(std::uint64_t execution, const base::RouteName& route,
+                 base::TimePoint deadline);
+  // Notes its end.
+  void OnEnded(std::uint64_t execution);
+  // Notes a call that the backend server made.
+  void OnCall(const base::RouteName& called, base::TimePoint deadline);
+  // Lets old evidence fade; called about once a second.
+  void Fade();
+
+  // True if executions of the one route make calls on the other.
+  bool Calls(const base::RouteName& caller,
+             const base::RouteName& called) const;
+  // Routes that have been called.
+  template <typename Fn>
+  void ForEachCalled(Fn fn) const {
+    for (const auto& [called, evidence] : evidence_) fn(called);
+  }
+
+ private:
+  // Matches of calls on one route, by the route of the parent.
+  struct Evidence {
+    std::unordered_map<base::RouteName, double> matches;
+    double total = 0;
+  };
+  using Running = std::multimap<base::TimePoint, base::RouteName>;
+
+  Running running_;  // by deadline
+  std::unordered_map<std::uint64_t, Running::iterator> executions_;
+  std::unordered_map<base::RouteName, Evidence> evidence_;
+};
+
+}  // namespace dogwoodrail::core::chain
+
+#endif  // DOGWOODRAIL_CORE_CHAIN_CALL_GRAPH_H_
--- a/src/core/rate/rate_grantor.cc
+++ b/src/core/rate/rate_grantor.cc
@@ -59,6 +59,13 @@
   return &account;
 }
 
+void RateGrantor::Prepare(ShardIndex index, const AccountName& account,
+                          TimePoint now) {
+  const auto shard = shards_.find(index);
+  if (shard == shards_.end() || !shard->second.owned) return;
+  FindOrMake(&shard->second, account, now);
+}
+
 RateReply RateGrantor::MakeReply(const RateRequest& request,
                                  Epoch epoch) const {
   RateReply reply;
--- a/src/core/rate/rate_grantor.h
+++ b/src/core/rate/rate_grantor.h
@@ -32,6 +32,10 @@
   // Forgets an account.
   void OnRemoved(const AccountName& account);
 
+  // Makes the ledger of an account in a shard that this node owns, so that it
+  // accrues before the first request.
+  void Prepare(ShardIndex shard, const AccountName& account, TimePoint now);
+
   // Answers a holder, at once or when the standby has the copy.
   RateActions OnRequest(const MemberId& from, const RateRequest& request,
                         TimePoint now);
--- /dev/null
+++ b/src/core/rate/rate_homes.cc
@@ -0,0 +1,68 @@
+#include "core/rate/rate_homes.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/shard/shard_func.h"
+
+namespace dogwoodrail::core::rate {
+namespace {
+
+// Time for which a node that is no longer seen may still serve on the other
+// side of a cut. It is longer than any lease on keys there.
+constexpr Duration kRecentTime = std::chrono::seconds(15);
+
+}  // namespace
+
+RateHomes::RateHomes(std::uint32_t shard_count, shard::Member self)
+    : self_(std::move(self)), homes_(shard_count, self_.id) {
+  members_.push_back(self_);
+}
+
+std::vector<ShardIndex> RateHomes::OnMembers(std::vector<shard::Member> others,
+                                             TimePoint now) {
+  now_ = now;
+  others.push_back(self_);
+  for (const shard::Member& it : others) last_seen_[it.id.address] = now;
+  for (auto it = last_seen_.begin(); it != last_seen_.end();) {
+    const bool old = now - it->second > kRecentTime;
+    it = old ? last_seen_.erase(it) : std::next(it);
+  }
+  if (started_ && others == members_) return {};
+  members_ = std::move(others);
+  std::vector<ShardIndex> gained;
+  for (std::size_t it = 0; it < homes_.size(); ++it) {
+    const ShardIndex shard(static_cast<std::uint32_t>(it));
+    const MemberId home = shard::RankMembers(shard, members_).front().id;
+    const bool gain = home == self_.id && (!started_ || homes_[it] != home);
+    if (gain) gained.push_back(shard);
+    homes_[it] = home;
+  }
+  started_ = true;
+  return gained;
+}
+
+const MemberId& RateHomes::HomeOf(ShardIndex shard) const {
+  return homes_.at(shard.value());
+}
+
+bool RateHomes::IsHome(ShardIndex shard) const {
+  return HomeOf(shard) == self_.id;
+}
+
+void RateHomes::OnDirectory(std::size_t nodes, TimePoint now) {
+  listed_ = nodes;
+  listed_until_ = now + kRecentTime;
+}
+
+std::size_t RateHomes::recent_count() const {
+  const std::size_t listed = now_ < listed_until_ ? listed_ : 0;
+  return std::max({last_seen_.size(), listed, std::size_t{1}});
+}
+
+double RateHomes::LiveShare() const {
+  return static_cast<double>(members_.size()) /
+         static_cast<double>(recent_count());
+}
+
+}  // namespace dogwoodrail::core::rate
--- a/src/core/rate/rate_ledger.cc
+++ b/src/core/rate/rate_ledger.cc
@@ -17,7 +17,7 @@
 RateLedger::RateLedger(RateRow row, const RateSettings& settings, TimePoint now)
     : row_(row),
       settings_(settings),
-      level_(row.burst * kMicro),
+      level_(settings.start_empty ? 0 : row.burst * kMicro),
       accrued_(now),
       unknown_until_(now),
       next_expiry_(now) {}
--- a/src/core/rate/rate_ledger.h
+++ b/src/core/rate/rate_ledger.h
@@ -13,7 +13,7 @@
 // still spend. Level and outstanding together never exceed the burst.
 class RateLedger {
  public:
-  // Starts with a full burst.
+  // Starts with a full burst, or empty if the settings say so.
   RateLedger(RateRow row, const RateSettings& settings, TimePoint now);
 
   // Starts with the whole burst granted by an unknown predecessor.
--- a/src/core/rate/rate_limiter.cc
+++ b/src/core/rate/rate_limiter.cc
@@ -251,6 +251,30 @@
   actions_.emplace_back(SendRateRequest{flight.request});
 }
 
+// The tokens come only with time, from nothing: all nodes together stay below
+// the rate, whatever the grantor had given out before it fell silent.
+void RateLimiter::TickFallback(Account* account, TimePoint now) {
+  const bool silent = settings_.fallback_after.count() > 0 &&
+                      account->flight.active &&
+                      now >= account->flight.sent + settings_.fallback_after;
+  if (!silent) {
+    account->fallback = 0;
+    account->fallback_at = now;
+    return;
+  }
+  const double pace = account->row.rate_per_s * settings_.fallback_share /
+                      static_cast<double>(nodes_);
+  account->fallback += pace * Seconds(now - account->fallback_at);
+  account->fallback = std::min(account->fallback, 1.0 + pace);
+  account->fallback_at = now;
+  while (account->fallback >= 1 && !account->pending.empty()) {
+    account->fallback -= 1;
+    ++account->spent;
+    Resolve(account->pending.front(), Admitted());
+    account->pending.pop_front();
+  }
+}
+
 // Without an answer a call is held longer than with one that says that tokens
 // are short.
 void RateLimiter::TickPending(Account* account, TimePoint now) {
@@ -295,6 +319,7 @@
     const bool idle = account.held == 0 && account.spent == account.reported;
     if (!waits && idle) continue;
     DropLapsed(&account, now);
+    TickFallback(&account, now);
     TickFlight(&account, now);
     TickPending(&account, now);
     TickSurplus(&account, now);
--- a/src/core/rate/rate_limiter.h
+++ b/src/core/rate/rate_limiter.h
@@ -17,6 +17,8 @@
 
   // Puts the rate and burst of an account in force.
   void OnConfig(const AccountName& account, RateRow row);
+  // Takes the number of nodes that share the rates while no grantor answers.
+  void SetNodeCount(std::size_t nodes) { nodes_ = nodes; }
   // Forgets an account; calls that wait are refused.
   void OnRemoved(const AccountName& account);
 
@@ -69,6 +71,8 @@
     TimePoint next_request;  // not before, after tokens were short
     TimePoint dry_until;     // refuse at once until then
     Duration dry_time{0};
+    double fallback = 0;  // tokens admitted without a grantor
+    TimePoint fallback_at;
     bool unavailable = false;  // the last answer was not from a ready grantor
   };
 
@@ -86,11 +90,13 @@
   void RefuseShort(Account* account, Duration retry_after, TimePoint now);
   bool OwesReport(const Account& account, TimePoint now) const;
   void TickFlight(Account* account, TimePoint now);
+  void TickFallback(Account* account, TimePoint now);
   void TickPending(Account* account, TimePoint now);
   void TickSurplus(Account* account, TimePoint now);
 
   RateSettings settings_;
   std::uint32_t shard_count_;
+  std::size_t nodes_ = 1;
   std::map<AccountName, Account> accounts_;
   RateActions actions_;
 };
--- a/src/core/rate/rate_type.h
+++ b/src/core/rate/rate_type.h
@@ -61,6 +61,13 @@
   Duration resend_interval = std::chrono::milliseconds(40);
   Duration request_lifetime = std::chrono::seconds(1);
   Duration max_dry_time = std::chrono::milliseconds(200);
+  // A ledger starts without tokens, for grantors that know nothing of what a
+  // predecessor has granted.
+  bool start_empty = false;
+  // While no grantor answers for so long, a holder admits calls at its part of
+  // this share of the rate; zero: it admits none.
+  Duration fallback_after{0};
+  double fallback_share = 0.6;
   std::size_t max_pending = 2000;  // held calls of one account at one node
 };
 
--- a/src/core/route/endpoint_chooser.cc
+++ b/src/core/route/endpoint_chooser.cc
@@ -20,6 +20,11 @@
 // Age from which a load hint is not used.
 constexpr base::Duration kMaxHintAge = seconds(2);
 
+// Age up to which a hint tells whether an endpoint has room, and the share of
+// refusals that tells it otherwise.
+constexpr base::Duration kFullHintAge = milliseconds(500);
+constexpr double kFullRefusedShare = 0.5;
+
 // Latency assumed before any call was answered, microseconds.
 constexpr double kAssumedLatency = 10'000;
 
@@ -176,6 +181,7 @@
 Endpoint* EndpointChooser::ChooseEndpoint(EndpointTable* table,
                                           const ChooseRequest& request,
                                           base::TimePoint now) {
+  if (settings_.zone_first) return ChooseZoneFirst(table, request, now);
   Endpoint* first = PickRandom(table->own_zone(), request, nullptr);
   Endpoint* second = PickRandom(table->other_zones(), request, nullptr);
   if (first == nullptr) {
@@ -195,6 +201,45 @@
   return better == first ? second : first;
 }
 
+// The load it answers: one zone has more demand than its backend servers can
+// carry while others have room; what crosses is dear, so only the excess does.
+Endpoint* EndpointChooser::ChooseZoneFirst(EndpointTable* table,
+                                           const ChooseRequest& request,
+                                           base::TimePoint now) {
+  Endpoint* own = ChooseOfTwo(*table, table->own_zone(), request, now);
+  if (own != nullptr && !IsFull(*own, now)) return own;
+  Endpoint* other = ChooseOfTwo(*table, table->other_zones(), request, now);
+  if (other != nullptr && !IsFull(*other, now)) return other;
+  if (own != nullptr) return own;
+  if (other != nullptr) return other;
+  return PickRandom(table->ejected(), request, nullptr);
+}
+
+Endpoint* EndpointChooser::ChooseOfTwo(const EndpointTable& table,
+                                       const std::vector<Endpoint*>& list,
+                                       const ChooseRequest& request,
+                                       base::TimePoint now) {
+  Endpoint* first = PickRandom(list, request, nullptr);
+  Endpoint* second =
+      first == nullptr ? nullptr : PickRandom(list, request, first);
+  if (second == nullptr) return first;
+  Endpoint* better =
+      Cost(table, *first, now) <= Cost(table, *second, now) ? first : second;
+  if (!IsHeldBack(*better, now)) return better;
+  return better == first ? second : first;
+}
+
+bool EndpointChooser::IsFull(const Endpoint& endpoint,
+                             base::TimePoint now) const {
+  if (endpoint.hint.limit == 0 || now - endpoint.hint_at >= kFullHintAge) {
+    return endpoint.refused_share * Freshness(endpoint.refused_at, now) >
+           kFullRefusedShare;
+  }
+  const double load = static_cast<double>(endpoint.hint.in_flight) +
+                      endpoint.hint.queued + endpoint.sent_since_hint;
+  return load >= endpoint.hint.limit;
+}
+
 Endpoint* EndpointChooser::PickRandom(const std::vector<Endpoint*>& list,
                                       const ChooseRequest& request,
                                       const Endpoint* other) {
--- a/src/core/route/endpoint_chooser.h
+++ b/src/core/route/endpoint_chooser.h
@@ -55,6 +55,15 @@
   // Returns an endpoint by two random choices, nullptr if all are excluded.
   Endpoint* ChooseEndpoint(EndpointTable* table, const ChooseRequest& request,
                            base::TimePoint now);
+  // Returns an endpoint of the own zone unless that has no room.
+  Endpoint* ChooseZoneFirst(EndpointTable* table, const ChooseRequest& request,
+                            base::TimePoint now);
+  // Returns the better of two random endpoints of the list, or nullptr.
+  Endpoint* ChooseOfTwo(const EndpointTable& table,
+                        const std::vector<Endpoint*>& list,
+                        const ChooseRequest& request, base::TimePoint now);
+  // True if the endpoint has said that all its places are taken.
+  bool IsFull(const Endpoint& endpoint, base::TimePoint now) const;
   // Returns a random endpoint of the list that is neither excluded nor `other`.
   Endpoint* PickRandom(const std::vector<Endpoint*>& list,
                        const ChooseRequest& request, const Endpoint* other);
--- a/src/core/route/route_type.h
+++ b/src/core/route/route_type.h
@@ -27,6 +27,8 @@
   // Extra latency by which an endpoint in another zone is thought worse.
   base::Duration other_zone_penalty = std::chrono::milliseconds(3);
   bool prefer_own_zone = true;
+  // Another zone gets only what the own one cannot carry.
+  bool zone_first = false;
   // Time over which a new endpoint is brought up to its full share.
   base::Duration ramp_time = std::chrono::seconds(5);
   // Ejection of endpoints that fail.
--- a/src/node/dialect_type.h
+++ b/src/node/dialect_type.h
@@ -40,6 +40,9 @@
   // Adds to a request what the backend server is told.
   std::function<void(http::Request&, const ExecutionFacts&)>
       add_execution_headers;
+  // Calls of backend servers carry no context. One without a key on a route
+  // open to all is taken for such a call while the backend server works.
+  bool infers_calls = false;
   // Reads what the backend server's answers say.
   http::BackendHooks backend;
 };
--- a/src/node/directory_system.cc
+++ b/src/node/directory_system.cc
@@ -16,8 +16,8 @@
     Node& node, const HostPorts& ports)
     : node_(node),
       ports_(ports),
-      directory_(settings,
-                 NodeAddress(node.settings().identity.peer_address), seed) {}
+      directory_(settings, NodeAddress(node.settings().identity.peer_address),
+                 seed) {}
 
 void DirectorySystem::Tick(TimePoint now) {
   directory_.SetAlone(node_.members().table().live_count() <= 1);
@@ -62,6 +62,7 @@
     std::vector<NodeAddress> seeds;
     for (const DirectoryEntry& it : *list) seeds.push_back(it.address);
     const TimePoint now = Node::Now();
+    node_.SetDirectorySize(seeds.size());
     node_.members().SetSeeds(std::move(seeds), now);
     directory_.OnList(now);
   });
--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -64,14 +64,14 @@
 std::optional<EntrySystem::Refusal> EntrySystem::Identify(
     const CallerHeaders& headers, EntryCall& call, TimePoint now) {
   if (!config_) return Refusal{Reason::kNoConfiguration, ""};
-  const auto* route =
-      config_->MatchRoute(call.message.target, headers.host);
+  const auto* route = config_->MatchRoute(call.message.target, headers.host);
   if (route == nullptr) return Refusal{Reason::kUnknownRoute, ""};
   call.route = *route;
   call.service = splits_.Pick(*route);
   call.importance = route->importance;
   call.deadline = now + route->timeout;
   if (headers.timeout) {
+    call.time_told = *headers.timeout;
     call.deadline = std::min(call.deadline, now + *headers.timeout);
   }
   if (headers.context) return IdentifyByContext(headers, call);
@@ -101,7 +101,12 @@
 
 std::optional<EntrySystem::Refusal> EntrySystem::IdentifyByKey(
     const CallerHeaders& headers, EntryCall& call) {
-  if (call.route.open_to_all && !headers.key) return std::nullopt;
+  if (call.route.open_to_all && !headers.key) {
+    const bool inner = ports_.dialect.infers_calls && ports_.backend_works &&
+                       ports_.backend_works();
+    if (inner) call.hop = 1;
+    return std::nullopt;
+  }
   if (!headers.key) return Refusal{Reason::kNoKey, ""};
   if (!config_fresh_) return Refusal{Reason::kConfigurationStale, ""};
   const auto* key = config_->FindKey(ports_.hash_key(*headers.key));
@@ -121,6 +126,7 @@
   by_exchange_[added.exchange] = index;
   if (Execution* parent = ParentOf(added)) parent->downstream.Begin(now);
   RetryBudgetOf(added.route).OnFresh(now);
+  if (added.hop > 0 && ports_.on_inner_call) ports_.on_inner_call(added);
   Emit(EventNumber::kRequestReceived, added,
        "route=" + added.route.name.value() +
            " hop=" + std::to_string(added.hop));
@@ -143,7 +149,19 @@
     }
     return EnterStage(call, EntryStage::kDispatch, now);
   }
-  Dispatch(*calls_.Find(index), now);
+  EnterChain(*calls_.Find(index), now);
+}
+
+// Calls within a chain were let in at its entry.
+void EntrySystem::EnterChain(EntryCall& call, TimePoint now) {
+  if (ports_.chain_gate && call.hop == 0) {
+    const auto verdict = ports_.chain_gate(call, now);
+    if (!verdict.admitted) {
+      return FinishWithRefusal(call, Reason::kChainOverloaded,
+                               verdict.retry_after, now);
+    }
+  }
+  Dispatch(call, now);
 }
 
 void EntrySystem::OnGateAnswer(EntryIndex index, const GateAnswer& answer,
--- a/src/node/entry_attempt.cc
+++ b/src/node/entry_attempt.cc
@@ -92,8 +92,8 @@
       attempt.to, MakeCallMessage(call, attempt.id, share.count, now));
   if (!sent) {
     EndAttempt(call, CallResult::kFailed, std::nullopt, now);
-    return OnAttemptFailed(call, Ran::kNotRun, Reason::kConnectionLost,
-                           Duration(0), now);
+    return OnAttemptFailed(
+        call, {Ran::kNotRun, Reason::kConnectionLost, Duration(0), false}, now);
   }
   call.attempt->frame = *sent;
 }
@@ -152,6 +152,9 @@
                  "attempt=" + std::to_string(message.call.value())});
     return;
   }
+  if (ports_.on_pressure) {
+    ports_.on_pressure(call->route.name, message.pressure, now);
+  }
   if (AttemptBudget* budget = BudgetOf(*call)) {
     budget->Return(call->attempt->share, message.attempts_unspent);
   }
@@ -163,7 +166,9 @@
     return FinishWithAnswer(*call, std::move(message), now);
   }
   EndAttempt(*call, ResultOf(message.ran, message.reason), message.load, now);
-  OnAttemptFailed(*call, message.ran, message.reason, message.retry_after, now);
+  OnAttemptFailed(
+      *call,
+      {message.ran, message.reason, message.retry_after, message.reached}, now);
 }
 
 void EntrySystem::OnLinkLost(const wire::LinkLoss& loss, TimePoint now) {
@@ -182,8 +187,10 @@
     if (budget != nullptr) budget->Lose(call->attempt->share);
     Emit(EventNumber::kAttemptLost, *call, "cause=" + loss.cause);
     EndAttempt(*call, CallResult::kFailed, std::nullopt, now);
-    OnAttemptFailed(*call, unsent ? Ran::kNotRun : Ran::kUnknown,
-                    Reason::kConnectionLost, Duration(0), now);
+    OnAttemptFailed(*call,
+                    {unsent ? Ran::kNotRun : Ran::kUnknown,
+                     Reason::kConnectionLost, Duration(0), !unsent},
+                    now);
   }
 }
 
@@ -204,17 +211,24 @@
   chooser_.OnAnswered(answer, now);
 }
 
-void EntrySystem::OnAttemptFailed(EntryCall& call, Ran ran, Reason reason,
-                                  Duration retry_after, TimePoint now) {
+void EntrySystem::OnAttemptFailed(EntryCall& call, const Failure& failure,
+                                  TimePoint now) {
+  const auto [ran, reason, retry_after, reached] = failure;
   if (ran != Ran::kNotRun) call.may_have_run = true;
   call.last_reason = reason;
   call.last_retry_after = retry_after;
-  const AttemptBudget* budget = BudgetOf(call);
+  AttemptBudget* budget = BudgetOf(call);
   if (budget == nullptr) return Drop(call, Reason::kCancelled, now);
+  const bool free = ran == Ran::kNotRun && !reached &&
+                    call.redirects < settings_.retry.free_redirects;
+  if (free) budget->Refund();
   core::attempt::RetryQuestion question;
   question.idempotent = call.route.idempotent;
   question.ran = ran;
   question.reason = reason;
+  question.inner = call.hop > 0;
+  question.reached = reached;
+  question.redirects = call.redirects;
   question.attempts_left = budget->remaining();
   question.retries_made = call.dispatches - 1;
   question.deadline_left = call.deadline - now;
@@ -224,6 +238,8 @@
   if (!decision.retry) {
     return FinishWithRefusal(call, reason, retry_after, now);
   }
+  if (!reached) ++call.redirects;
+  if (decision.backoff.count() == 0) return Dispatch(call, now);
   call.stage = EntryStage::kBackoff;
   call.resume_at = now + decision.backoff;
 }
@@ -340,8 +356,10 @@
 
 core::attempt::RetryBudget& EntrySystem::RetryBudgetOf(
     const core::config::Route& route) {
-  const auto it =
-      retry_budgets_.try_emplace(route.name, route.retry_percent).first;
+  const auto it = retry_budgets_
+                      .try_emplace(route.name, route.retry_percent,
+                                   settings_.retry.free_retries)
+                      .first;
   it->second.SetPercent(route.retry_percent);
   return it->second;
 }
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -59,6 +59,13 @@
   std::size_t size() const { return calls_.size(); }
 
  private:
+  // Why an attempt ended without an answer for the caller.
+  struct Failure {
+    core::base::Ran ran;
+    core::base::Reason reason;
+    core::base::Duration retry_after;
+    bool reached;  // the backend server was sent the request
+  };
   struct Refusal {
     core::base::Reason reason;
     std::string detail;
@@ -73,6 +80,7 @@
                                        EntryCall& call);
   void RefuseAtOnce(const EntryCall& call, const Refusal& refusal);
   void EnterStage(EntryCall& call, EntryStage stage, TimePoint now);
+  void EnterChain(EntryCall& call, TimePoint now);
   void Dispatch(EntryCall& call, TimePoint now);
   wire::CallMessage MakeCallMessage(const EntryCall& call,
                                     const core::base::CallId& attempt,
@@ -82,9 +90,7 @@
   void EndAttempt(EntryCall& call, core::route::CallResult result,
                   const std::optional<core::route::LoadHint>& hint,
                   TimePoint now);
-  void OnAttemptFailed(EntryCall& call, core::base::Ran ran,
-                       core::base::Reason reason,
-                       core::base::Duration retry_after, TimePoint now);
+  void OnAttemptFailed(EntryCall& call, const Failure& failure, TimePoint now);
   void FinishWithAnswer(EntryCall& call, wire::AnswerMessage message,
                         TimePoint now);
   void FinishWithRefusal(EntryCall& call, core::base::Reason reason,
--- a/src/node/entry_type.h
+++ b/src/node/entry_type.h
@@ -13,6 +13,7 @@
 #include "core/base/pool_type.h"
 #include "core/base/request_type.h"
 #include "core/base/time_type.h"
+#include "core/chain/chain_control.h"
 #include "core/config/config_type.h"
 #include "http/caller_server.h"
 #include "http/message_type.h"
@@ -58,6 +59,7 @@
   ExecutionIndex parent;  // the execution that made this call, if any
   core::base::TimePoint received_at;
   core::base::TimePoint deadline;
+  std::optional<core::base::Duration> time_told;  // by the caller
   std::optional<std::string> idempotency_key;
   std::uint64_t fingerprint = 0;
   http::Request message;
@@ -122,6 +124,17 @@
   std::function<void(const EntryCall&, TimePoint)> once_gate;
   std::function<void(const EntryCall&, const EntryOutcome&, TimePoint)>
       on_outcome;
+  // Decides whether a request may enter its chain; optional.
+  std::function<core::chain::GateVerdict(const EntryCall&, TimePoint)>
+      chain_gate;
+  // Observers of calls that the local backend server makes, and of what
+  // answers tell of the services behind a route; optional.
+  std::function<void(const EntryCall&)> on_inner_call;
+  std::function<void(const core::base::RouteName&, const core::chain::Pressure&,
+                     TimePoint)>
+      on_pressure;
+  // True while the local backend server runs requests; optional.
+  std::function<bool()> backend_works;
   // Observer of requests that are refused before they become calls; optional.
   std::function<void(core::base::Importance, core::base::Reason)> on_refused;
 };
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -30,6 +30,8 @@
 constexpr core::base::Duration kMembersInterval =
     std::chrono::milliseconds(500);
 constexpr std::size_t kContextBytes = 16;
+// Homes of rates are not recorded, so all act under the same epoch.
+constexpr core::shard::Epoch kHomeEpoch(2);
 // Shorter differences between the clocks are not worth acting on.
 constexpr core::base::Duration kLeastSuspension = std::chrono::milliseconds(20);
 
@@ -44,6 +46,13 @@
   return std::chrono::duration_cast<core::base::Duration>(seconds + rest);
 }
 
+// Returns one number for the place of an execution in its table.
+std::uint64_t NumberOf(ExecutionIndex index) {
+  constexpr unsigned kGenerationShift = 32;
+  return (static_cast<std::uint64_t>(index.generation) << kGenerationShift) |
+         index.slot;
+}
+
 // Returns how this node introduces itself to others.
 wire::LinkPeer MakeSelf(const Settings& settings) {
   return wire::LinkPeer{NodeAddress(settings.identity.peer_address),
@@ -108,11 +117,14 @@
               links_, emit_, Now()),
       backend_client_(loop_, settings_.backend, dialect_.backend),
       admission_(settings_.admission, RandomSeed()),
+      chain_(settings_.chain, RandomSeed()),
       chooser_(settings_.route, RandomSeed()),
       entry_(EntrySettings{settings_.retry, RandomSeed()}, chooser_,
              MakeEntryPorts()),
-      rates_(settings_.rate, settings_.shard.shard_count, shards_, links_,
-             entry_),
+      homes_(settings_.shard.shard_count,
+             {{self_peer_.address, self_peer_.incarnation}, self_peer_.zone}),
+      rates_(settings_.rate, settings_.shard.shard_count, MakeRateOwners(),
+             links_, entry_),
       once_(settings_.once, shards_, links_, entry_, emit_),
       poison_(
           settings_.poison, shards_, links_,
@@ -122,6 +134,12 @@
                RandomSeed(), datagrams_, chooser_, emit_),
       caller_server_(loop_, settings_.caller, MakeCallerHooks()) {
   SetLinkHandlers();
+  if (settings_.features.shards) {
+    shards_.AddListener(
+        [this](const core::shard::ShardAction& action, TimePoint now) {
+          rates_.OnShardAction(action, now);
+        });
+  }
   suspended_total_ = SuspendedTime();
 }
 
@@ -160,7 +178,7 @@
 void Node::SetConfig(std::shared_ptr<const core::config::ConfigState> config) {
   config_ = std::move(config);
   entry_.SetConfig(config_);
-  if (settings_.features.shards) rates_.SetConfig(*config_, Now());
+  rates_.SetConfig(*config_, Now());
   ApplyCallerLimits(config_->caller_limits());
   emit_({EventNumber::kConfigurationInForce,
          {},
@@ -215,12 +233,13 @@
   ports.find_execution = [this](ExecutionIndex index) {
     return serving_.Find(index);
   };
+  ports.backend_works = [this] { return serving_.size() > 0; };
   ports.make_request_id = [] { return MakeRequestId(WallNow()); };
   ports.hash_key = HashKey;
+  ports.rate_gate = [this](const EntryCall& call, TimePoint now) {
+    rates_.OnCall(call, now);
+  };
   if (settings_.features.shards) {
-    ports.rate_gate = [this](const EntryCall& call, TimePoint now) {
-      rates_.OnCall(call, now);
-    };
     ports.once_gate = [this](const EntryCall& call, TimePoint now) {
       once_.OnCall(call, now);
     };
@@ -236,9 +255,93 @@
   };
   ports.emit = emit_;
   ports.dialect = dialect_;
+  if (settings_.chain.enabled) AddChainPorts(ports);
   return ports;
 }
 
+void Node::AddChainPorts(EntryPorts& ports) {
+  ports.chain_gate = [this](const EntryCall& call, TimePoint now) {
+    core::chain::GateRequest request;
+    request.route = call.route.name;
+    request.importance = call.importance;
+    request.latency_objective = call.route.latency_objective;
+    request.time_left = call.time_told;
+    return chain_.Decide(request, now);
+  };
+  ports.on_inner_call = [this](const EntryCall& call) {
+    if (!call.time_told) return;
+    chain_.graph().OnCall(call.route.name, call.received_at + *call.time_told);
+  };
+  ports.on_pressure = [this](const core::base::RouteName& route,
+                             const core::chain::Pressure& pressure,
+                             TimePoint now) {
+    chain_.OnAnswer(route, pressure, now);
+  };
+}
+
+// The graph compares deadlines as the backend server was told them, in whole
+// milliseconds.
+void Node::AddChainPorts(ServingPorts& ports) {
+  ports.on_started = [this](const Execution& execution, TimePoint now) {
+    const auto told = std::chrono::duration_cast<std::chrono::milliseconds>(
+        execution.deadline - now);
+    chain_.graph().OnStarted(NumberOf(execution.index), execution.message.route,
+                             now + told);
+  };
+  ports.on_ended = [this](const Execution& execution) {
+    chain_.graph().OnEnded(NumberOf(execution.index));
+  };
+  ports.pressure_of = [this](const core::base::RouteName& route,
+                             TimePoint now) {
+    return chain_.PressureOf(route, now);
+  };
+}
+
+void Node::TickChain(TimePoint now) {
+  const auto snapshot = admission_.Snapshot();
+  core::chain::LoadSample sample;
+  sample.in_flight = snapshot.in_flight;
+  sample.queued = snapshot.queued;
+  sample.limit = snapshot.limit;
+  for (const Reason it : {Reason::kQueueFull, Reason::kOverloaded}) {
+    sample.refused += snapshot.refused_by_reason[static_cast<std::size_t>(it)];
+  }
+  chain_.OnLoad(serving_.backend().service, sample, now);
+  chain_.Tick(now);
+}
+
+RateOwners Node::MakeRateOwners() {
+  using core::shard::ShardIndex;
+  RateOwners owners;
+  owners.self = {self_peer_.address, self_peer_.incarnation};
+  if (!settings_.features.shards) {
+    owners.authority.epoch = [this](ShardIndex shard, TimePoint) {
+      return homes_.IsHome(shard) ? kHomeEpoch : core::shard::Epoch();
+    };
+    owners.authority.standby = [](ShardIndex, TimePoint) {
+      return std::nullopt;
+    };
+    owners.owner = [this](ShardIndex shard) {
+      return std::optional(homes_.HomeOf(shard));
+    };
+    owners.look_up = [](ShardIndex, TimePoint) {};
+    return owners;
+  }
+  owners.authority.epoch = [this](ShardIndex shard, TimePoint now) {
+    return shards_.table().AuthorityEpoch(shard, now);
+  };
+  owners.authority.standby = [this](ShardIndex shard, TimePoint now) {
+    return shards_.table().CurrentStandby(shard, now);
+  };
+  owners.owner = [this](ShardIndex shard) {
+    return shards_.table().KnownPrimary(shard);
+  };
+  owners.look_up = [this](ShardIndex shard, TimePoint now) {
+    shards_.table().RequestOwner(shard, now);
+  };
+  return owners;
+}
+
 ServingPorts Node::MakeServingPorts() {
   ServingPorts ports;
   ports.reply = [this](const CallOrigin& origin, wire::AnswerMessage message) {
@@ -264,6 +367,7 @@
   if (settings_.features.shards) AddPoisonPorts(ports);
   ports.emit = emit_;
   ports.dialect = dialect_;
+  if (settings_.chain.enabled) AddChainPorts(ports);
   return ports;
 }
 
@@ -398,7 +502,9 @@
   serving_.Tick(now);
   chooser_.Tick(now);
   members_.Tick(now);
-  if (settings_.features.shards) TickShards(now);
+  settings_.features.shards ? TickShards(now) : TickHomes(now);
+  rates_.Tick(now);
+  if (settings_.chain.enabled) TickChain(now);
   for (const auto& it : further_systems_) it(now);
   if (stopping_) CheckStopped();
   if (!loop_.stopped()) ScheduleTick();
@@ -410,11 +516,20 @@
     shards_.OnMembers(members_.Members());
   }
   shards_.Tick(now);
-  rates_.Tick(now);
   once_.Tick(now);
   poison_.Tick(now);
 }
 
+void Node::TickHomes(TimePoint now) {
+  if (now < members_given_ + kMembersInterval) return;
+  members_given_ = now;
+  for (const auto shard : homes_.OnMembers(members_.Members(), now)) {
+    rates_.OnAuthorityGained(shard, kHomeEpoch, core::shard::History::kNone,
+                             now);
+  }
+  rates_.SetLiveShare(homes_.LiveShare(), homes_.recent_count(), now);
+}
+
 // The steady clock does not count the time for which a VM is suspended, so a
 // lease would outlive it. The boot clock counts it.
 void Node::CheckSuspension() {
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -11,7 +11,9 @@
 #include <vector>
 
 #include "core/admission/admission_control.h"
+#include "core/chain/chain_control.h"
 #include "core/config/config_base.h"
+#include "core/rate/rate_homes.h"
 #include "core/route/endpoint_chooser.h"
 #include "http/backend_client.h"
 #include "http/caller_server.h"
@@ -61,6 +63,8 @@
   void SetSuspendedHook(std::function<void(core::base::Duration)> hook) {
     on_suspended_ = std::move(hook);
   }
+  // Takes the number of nodes in the directory of the host system.
+  void SetDirectorySize(std::size_t nodes) { homes_.OnDirectory(nodes, Now()); }
   // Sets what tells whether keyed requests may run on the configuration; they
   // may not before it is set.
   void SetFreshnessCheck(std::function<bool(TimePoint)> check) {
@@ -99,6 +103,10 @@
   EntryPorts MakeEntryPorts();
   ServingPorts MakeServingPorts();
   http::CallerServerHooks MakeCallerHooks();
+  void AddChainPorts(EntryPorts& ports);
+  void AddChainPorts(ServingPorts& ports);
+  void TickChain(TimePoint now);
+  RateOwners MakeRateOwners();
   void AddPoisonPorts(ServingPorts& ports);
   void SetLinkHandlers();
   void ScheduleTick();
@@ -107,6 +115,7 @@
   void CheckStopped();
   void CheckSuspension();
   void TickShards(TimePoint now);
+  void TickHomes(TimePoint now);
   void ApplyCallerLimits(const core::config::CallerLimits& limits);
   bool IsDone() const;
   core::base::Result<std::optional<wire::SentFrame>> SendCall(
@@ -126,8 +135,10 @@
   ShardSystem shards_;
   http::BackendClient backend_client_;
   core::admission::AdmissionControl admission_;
+  core::chain::ChainControl chain_;
   core::route::EndpointChooser chooser_;
   EntrySystem entry_;
+  core::rate::RateHomes homes_;
   RateSystem rates_;
   OnceSystem once_;
   PoisonSystem poison_;
--- a/src/node/rate_system.cc
+++ b/src/node/rate_system.cc
@@ -1,8 +1,11 @@
 #include "node/rate_system.h"
 
+#include <cmath>
 #include <utility>
 #include <variant>
 
+#include "core/shard/shard_func.h"
+
 namespace dogwoodrail::node {
 
 using core::base::AccountName;
@@ -13,17 +16,6 @@
 
 namespace {
 
-core::rate::RateAuthority MakeAuthority(ShardSystem& shards) {
-  core::rate::RateAuthority authority;
-  authority.epoch = [&shards](ShardIndex shard, core::base::TimePoint now) {
-    return shards.table().AuthorityEpoch(shard, now);
-  };
-  authority.standby = [&shards](ShardIndex shard, core::base::TimePoint now) {
-    return shards.table().CurrentStandby(shard, now);
-  };
-  return authority;
-}
-
 GateAnswer ToGateAnswer(const RateDecision& decision) {
   GateAnswer answer;
   answer.admitted = decision.verdict == RateDecision::Verdict::kAdmitted;
@@ -35,39 +27,78 @@
 }  // namespace
 
 RateSystem::RateSystem(const core::rate::RateSettings& settings,
-                       std::uint32_t shard_count, ShardSystem& shards,
+                       std::uint32_t shard_count, RateOwners owners,
                        wire::Links& links, EntrySystem& entry)
-    : shards_(shards),
+    : owners_(std::move(owners)),
       links_(links),
       entry_(entry),
-      grantor_(settings, MakeAuthority(shards)),
-      limiter_(settings, shard_count) {
-  shards_.AddListener([this](const core::shard::ShardAction& action,
-                             TimePoint now) { OnShardAction(action, now); });
-}
+      shard_count_(shard_count),
+      grantor_(settings, owners_.authority),
+      limiter_(settings, shard_count) {}
 
+// An account without a rate has no limit and is not known here.
 void RateSystem::SetConfig(const core::config::ConfigState& config,
                            TimePoint now) {
-  std::set<AccountName> gone = std::move(accounts_);
-  accounts_.clear();
+  std::map<AccountName, core::rate::RateRow> gone = std::move(rows_);
+  rows_.clear();
   for (const auto& [name, account] : config.accounts()) {
+    if (account.rate_per_s == 0) continue;
     const core::rate::RateRow row{static_cast<double>(account.rate_per_s),
                                   account.burst};
-    grantor_.OnConfig(name, row, now);
     limiter_.OnConfig(name, row);
-    accounts_.insert(name);
+    rows_[name] = row;
     gone.erase(name);
   }
-  for (const AccountName& name : gone) {
+  SetRows(now);
+  for (const auto& [name, row] : gone) {
     grantor_.OnRemoved(name);
     limiter_.OnRemoved(name);
   }
   Perform(limiter_.TakeActions(), now);
 }
 
+void RateSystem::SetLiveShare(double share, std::size_t nodes, TimePoint now) {
+  limiter_.SetNodeCount(nodes);
+  if (share == live_share_) return;
+  live_share_ = share;
+  SetRows(now);
+}
+
+void RateSystem::SetRows(TimePoint now) {
+  for (const auto& [name, row] : rows_) {
+    const double burst =
+        std::ceil(live_share_ * static_cast<double>(row.burst));
+    grantor_.OnConfig(
+        name,
+        {row.rate_per_s * live_share_, static_cast<core::rate::Tokens>(burst)},
+        now);
+  }
+  PrepareLedgers(now);
+}
+
+void RateSystem::PrepareLedgers(TimePoint now) {
+  for (const auto& [name, row] : rows_) {
+    grantor_.Prepare(core::shard::ShardOf(name.value(), shard_count_), name,
+                     now);
+  }
+}
+
+void RateSystem::OnAuthorityGained(core::shard::ShardIndex shard,
+                                   core::shard::Epoch epoch,
+                                   core::shard::History history,
+                                   TimePoint now) {
+  grantor_.OnAuthorityGained(shard, epoch, history, now);
+  PrepareLedgers(now);
+}
+
 void RateSystem::OnCall(const EntryCall& call, TimePoint now) {
-  const CallId id(next_call_++);
   const EntryIndex index = call.index;
+  if (rows_.count(call.account) == 0) {
+    GateAnswer unlimited;
+    unlimited.admitted = true;
+    return entry_.OnGateAnswer(index, unlimited, now);
+  }
+  const CallId id(next_call_++);
   const RateDecision decision = limiter_.Admit(call.account, id, now);
   if (decision.verdict == RateDecision::Verdict::kPending) {
     pending_.emplace(id, index);
@@ -84,7 +115,7 @@
   const auto message = wire::DecodeRate(payload);
   if (!message) return links_.Refuse(from, message.error().detail);
   const bool any = message->to == core::base::Incarnation();
-  if (!any && message->to != shards_.self().incarnation) return;
+  if (!any && message->to != owners_.self.incarnation) return;
   Take({peer->address, peer->incarnation}, message->message, now);
 }
 
@@ -111,8 +142,7 @@
 void RateSystem::OnShardAction(const core::shard::ShardAction& action,
                                TimePoint now) {
   if (const auto* gained = std::get_if<core::shard::AuthorityGained>(&action)) {
-    grantor_.OnAuthorityGained(gained->shard, gained->epoch, gained->history,
-                               now);
+    OnAuthorityGained(gained->shard, gained->epoch, gained->history, now);
   } else if (const auto* changed =
                  std::get_if<core::shard::StandbyChanged>(&action)) {
     Perform(grantor_.OnStandbyChanged(changed->shard, changed->standby, now),
@@ -121,7 +151,7 @@
                  std::get_if<core::shard::OwnerChanged>(&action)) {
     const auto& record = owner->record;
     const bool in_pair =
-        record.primary == shards_.self() || record.standby == shards_.self();
+        record.primary == owners_.self || record.standby == owners_.self;
     grantor_.OnOwnerChanged(record.shard, in_pair);
   }
 }
@@ -136,15 +166,15 @@
 // The owner may be this node itself.
 void RateSystem::Send(const MemberId& to, wire::RateMessage message,
                       TimePoint now) {
-  if (to == shards_.self()) return Take(to, message, now);
+  if (to == owners_.self) return Take(to, message, now);
   (void)links_.Send(to.address,
                     wire::EncodeRate({to.incarnation, std::move(message)}));
 }
 
 void RateSystem::Do(const core::rate::SendRateRequest& send, TimePoint now) {
-  const auto owner = shards_.table().KnownPrimary(send.request.shard);
+  const auto owner = owners_.owner(send.request.shard);
   if (owner) return Send(*owner, send.request, now);
-  shards_.table().RequestOwner(send.request.shard, now);
+  owners_.look_up(send.request.shard, now);
 }
 
 void RateSystem::Do(const core::rate::SendRateReply& send, TimePoint now) {
@@ -168,7 +198,7 @@
 }
 
 void RateSystem::Do(const core::rate::OwnerNeeded& needed, TimePoint now) {
-  shards_.table().RequestOwner(needed.shard, now);
+  owners_.look_up(needed.shard, now);
 }
 
 }  // namespace dogwoodrail::node
--- a/src/node/serving_base.cc
+++ b/src/node/serving_base.cc
@@ -211,6 +211,9 @@
     }
   }
   answer.load = MakeHint();
+  if (ports_.pressure_of) {
+    answer.pressure = ports_.pressure_of(execution->message.route, now);
+  }
   answer.reached = true;
   ports_.reply(execution->origin, std::move(answer));
   Remove(*execution, now);
@@ -234,6 +237,9 @@
   answer.retry_after = retry_after;
   answer.attempts_unspent = message.attempts_share;
   answer.load = MakeHint();
+  if (ports_.pressure_of) {
+    answer.pressure = ports_.pressure_of(message.route, last_tick_);
+  }
   ports_.reply(origin, std::move(answer));
 }
 
@@ -276,6 +282,7 @@
 void ServingSystem::Remove(Execution& execution, TimePoint now) {
   const ExecutionIndex index = execution.index;
   const bool ran = execution.running;
+  if (ran && ports_.on_ended) ports_.on_ended(execution);
   by_context_.erase(execution.context);
   executions_.Remove(index);
   if (ran) ports_.on_execution_ended(index, now);
--- a/src/node/serving_type.h
+++ b/src/node/serving_type.h
@@ -64,6 +64,11 @@
   // Asked right before an execution; a reason refuses it as not run. Optional.
   std::function<std::optional<core::base::Reason>(const Execution&, TimePoint)>
       may_start;
+  // Returns what answers on a route tell of the services behind it; optional.
+  std::function<core::chain::Pressure(const core::base::RouteName&, TimePoint)>
+      pressure_of;
+  // Observer of the end of each execution that was started; optional.
+  std::function<void(const Execution&)> on_ended;
   // Observers of executions at the backend server; optional.
   std::function<void(const Execution&, TimePoint)> on_started;
   std::function<void(const Execution&, const http::BackendOutcome&, TimePoint)>
--- a/src/node/settings_table.cc
+++ b/src/node/settings_table.cc
@@ -100,6 +100,7 @@
 using Rate = core::rate::RateSettings;
 using Once = core::once::OnceSettings;
 using Poison = core::poison::PoisonSettings;
+using Chain = core::chain::ChainSettings;
 using Host = HostSettings;
 using Follow = core::config::FollowSettings;
 using Watch = core::backend::WatchSettings;
@@ -117,6 +118,7 @@
   const auto backend = &Settings::backend;
   const auto link = &Settings::links;
   const auto admission = &Settings::admission;
+  const auto chain = &Settings::chain;
   const auto route = &Settings::route;
   const auto member = &Settings::member;
   const auto spread = &Settings::spread;
@@ -173,6 +175,13 @@
       {"admission", "use_importance", kOptional, Flag(admission, &Admission::use_importance), "refuse less important requests first"},
       {"admission", "use_fairness", kOptional, Flag(admission, &Admission::use_fairness), "give client accounts equal turns"},
       {"admission", "use_deadlines", kOptional, Flag(admission, &Admission::use_deadlines), "refuse requests that cannot finish in time"},
+      {"chain", "enabled", kOptional, Flag(chain, &Chain::enabled), "refuse requests at the entry of their chain if a service behind cannot follow"},
+      {"chain", "step", kOptional, Time(milliseconds(10), seconds(10), chain, &Chain::step), "time between two steps of the control"},
+      {"chain", "max_cut", kOptional, Number(0, 0.9, chain, &Chain::max_cut), "largest reduction of the admitted share in one step"},
+      {"chain", "cut_gain", kOptional, Number(0, 10, chain, &Chain::cut_gain), "reduction for each whole limit of calls beyond the target"},
+      {"chain", "growth", kOptional, Number(0, 1, chain, &Chain::growth), "growth of the admitted share in one step without excess"},
+      {"chain", "min_share", kOptional, Number(0, 1, chain, &Chain::min_share), "least share of each importance that is let in"},
+      {"route", "zone_first", kOptional, Flag(route, &RouteChoice::zone_first), "use other availability zones only for what the own one cannot carry"},
       {"route", "prefer_own_zone", kOptional, Flag(route, &RouteChoice::prefer_own_zone), "prefer backend servers in the node's availability zone"},
       {"route", "other_zone_penalty", kOptional, Time(Duration(0), seconds(10), route, &RouteChoice::other_zone_penalty), "latency by which another availability zone is thought worse"},
       {"route", "ramp_time", kOptional, Time(Duration(0), minutes(10), route, &RouteChoice::ramp_time), "time over which a new backend server is brought up to its share"},
@@ -183,6 +192,9 @@
       {"route", "calls_per_accepted", kOptional, Number(0, 100, route, &RouteChoice::throttle, &Throttle::calls_per_accepted), "calls sent for each one accepted; 0 switches the throttle off"},
       {"retry", "backoff_base", kOptional, Time(milliseconds(1), minutes(1), &Settings::retry, &Retry::backoff_base), "longest pause before the first retry; doubles"},
       {"retry", "backoff_cap", kOptional, Time(milliseconds(1), minutes(1), &Settings::retry, &Retry::backoff_cap), "longest pause before any retry"},
+      {"retry", "free_redirects", kOptional, Count(0, 10, &Settings::retry, &Retry::free_redirects), "repeats at once, outside the budget, of dispatches that reached no backend server"},
+      {"retry", "free_retries", kOptional, Count(0, 1000, &Settings::retry, &Retry::free_retries), "retries of a route in ten seconds that need no fresh requests"},
+      {"retry", "repeat_unknown", kOptional, Flag(&Settings::retry, &Retry::repeat_unknown), "repeat requests of callers whose outcome is unknown"},
       {"shard", "shard_count", kOptional, Count(1, 10'000, shard, &Shard::shard_count), "shards of accounts and idempotency keys; the same on all nodes"},
       {"shard", "renew_interval", kOptional, Time(milliseconds(10), minutes(1), shard, &Shard::renew_interval), "time between two renewals of the lease of a pair"},
       {"shard", "pair_lease", kOptional, Time(milliseconds(100), minutes(1), shard, &Shard::pair_lease), "lease between the two nodes of a shard"},
@@ -193,6 +205,10 @@
       {"rate", "short_hold", kOptional, Time(Duration(0), seconds(10), rate, &Rate::short_hold), "longest hold of a call while tokens are short"},
       {"rate", "outage_hold", kOptional, Time(Duration(0), minutes(1), rate, &Rate::outage_hold), "longest hold of a call while no grantor answers"},
       {"rate", "max_pending", kOptional, Count(0, 100'000, rate, &Rate::max_pending), "held calls of one account"},
+      {"rate", "start_empty", kOptional, Flag(rate, &Rate::start_empty), "a grantor starts without tokens, for grantors that are not replicated"},
+      {"rate", "fallback_after", kOptional, Time(Duration(0), minutes(1), rate, &Rate::fallback_after), "silence of a grantor after which calls are admitted at a part of the rate; 0: never"},
+      {"rate", "fallback_share", kOptional, Number(0, 1, rate, &Rate::fallback_share), "share of the rate that all nodes together admit then"},
+      {"rate", "report_interval", kOptional, Time(milliseconds(1), seconds(10), rate, &Rate::report_interval), "time between two reports of spent tokens"},
       {"once", "retention", kOptional, Time(seconds(1), hours(24), once, &Once::retention), "age up to which an idempotency key is accepted; the same on all nodes"},
       {"once", "clock_skew", kOptional, Time(Duration(0), minutes(10), once, &Once::clock_skew), "largest difference between two wall clocks, callers' included"},
       {"once", "max_claims", kOptional, Count(100, 10'000'000, once, &Once::max_claims), "claims that the node keeps"},
--- a/src/node/settings_type.h
+++ b/src/node/settings_type.h
@@ -11,6 +11,7 @@
 #include "core/backend/backend_watch.h"
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
+#include "core/chain/chain_type.h"
 #include "core/config/config_follower.h"
 #include "core/member/directory.h"
 #include "core/member/member_settings_type.h"
@@ -96,6 +97,7 @@
   http::BackendClientSettings backend;
   wire::LinkSettings links;
   core::admission::AdmissionSettings admission;
+  core::chain::ChainSettings chain;
   core::route::RouteSettings route;
   core::attempt::RetrySettings retry;
   core::member::MemberSettings member;  // its seeds are those above
--- a/src/wire/call_codec.cc
+++ b/src/wire/call_codec.cc
@@ -130,6 +130,10 @@
   answer.add_body(body);
   answer.add_load(load);
   answer.add_reached(message.reached);
+  if (message.pressure.admit < 1.0) {
+    answer.add_bottleneck(message.pressure.bottleneck.value());
+    answer.add_admit(static_cast<float>(message.pressure.admit));
+  }
   fbb.Finish(answer.Finish());
   return EncodeFrame(FrameKind::kAnswer, fbb);
 }
@@ -151,6 +155,10 @@
   message.headers = ReadHeaders(answer->headers());
   message.body = ReadBody(answer->body());
   message.reached = answer->reached();
+  message.pressure.bottleneck = core::chain::ServiceMark(answer->bottleneck());
+  // Written to refuse not-a-number too.
+  const double admit = answer->admit();
+  message.pressure.admit = admit >= 0 && admit <= 1 ? admit : 1.0;
   if (const fbs::LoadHint* load = answer->load(); load != nullptr) {
     message.load =
         core::route::LoadHint{load->in_flight(), load->limit(), load->queued()};
--- a/src/wire/call_generated.h
+++ b/src/wire/call_generated.h
@@ -542,7 +542,9 @@
     VT_HEADERS = 16,
     VT_BODY = 18,
     VT_LOAD = 20,
-    VT_REACHED = 22
+    VT_REACHED = 22,
+    VT_BOTTLENECK = 24,
+    VT_ADMIT = 26
   };
   uint64_t call() const { return GetField<uint64_t>(VT_CALL, 0); }
   uint8_t ran() const { return GetField<uint8_t>(VT_RAN, 0); }
@@ -567,6 +569,8 @@
     return GetPointer<const dogwoodrail::wire::fbs::LoadHint*>(VT_LOAD);
   }
   bool reached() const { return GetField<uint8_t>(VT_REACHED, 0) != 0; }
+  uint32_t bottleneck() const { return GetField<uint32_t>(VT_BOTTLENECK, 0); }
+  float admit() const { return GetField<float>(VT_ADMIT, 1.0f); }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -580,7 +584,9 @@
            verifier.VerifyVectorOfTables(headers()) &&
            VerifyOffset(verifier, VT_BODY) && verifier.VerifyVector(body()) &&
            VerifyOffset(verifier, VT_LOAD) && verifier.VerifyTable(load()) &&
-           VerifyField<uint8_t>(verifier, VT_REACHED, 1) && verifier.EndTable();
+           VerifyField<uint8_t>(verifier, VT_REACHED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_BOTTLENECK, 4) &&
+           VerifyField<float>(verifier, VT_ADMIT, 4) && verifier.EndTable();
   }
 };
 
@@ -622,6 +628,12 @@
     fbb_.AddElement<uint8_t>(Answer::VT_REACHED, static_cast<uint8_t>(reached),
                              0);
   }
+  void add_bottleneck(uint32_t bottleneck) {
+    fbb_.AddElement<uint32_t>(Answer::VT_BOTTLENECK, bottleneck, 0);
+  }
+  void add_admit(float admit) {
+    fbb_.AddElement<float>(Answer::VT_ADMIT, admit, 1.0f);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -641,10 +653,12 @@
         headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0,
-    bool reached = false) {
+    bool reached = false, uint32_t bottleneck = 0, float admit = 1.0f) {
   AnswerBuilder builder_(_fbb);
   builder_.add_retry_after_us(retry_after_us);
   builder_.add_call(call);
+  builder_.add_admit(admit);
+  builder_.add_bottleneck(bottleneck);
   builder_.add_load(load);
   builder_.add_body(body);
   builder_.add_headers(headers);
@@ -669,7 +683,7 @@
         headers = nullptr,
     const std::vector<uint8_t>* body = nullptr,
     flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0,
-    bool reached = false) {
+    bool reached = false, uint32_t bottleneck = 0, float admit = 1.0f) {
   auto headers__ =
       headers ? _fbb.CreateVector<
                     flatbuffers::Offset<dogwoodrail::wire::fbs::HeaderField>>(
@@ -678,7 +692,7 @@
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return dogwoodrail::wire::fbs::CreateAnswer(
       _fbb, call, ran, reason, retry_after_us, attempts_unspent, status,
-      headers__, body__, load, reached);
+      headers__, body__, load, reached, bottleneck, admit);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/wire/call_message.h
+++ b/src/wire/call_message.h
@@ -9,6 +9,7 @@
 #include "core/base/id_type.h"
 #include "core/base/request_type.h"
 #include "core/base/time_type.h"
+#include "core/chain/chain_type.h"
 #include "core/route/route_type.h"
 #include "wire/frame_type.h"
 
@@ -52,6 +53,7 @@
   std::vector<HeaderField> headers;
   std::string body;
   core::route::LoadHint load;
+  core::chain::Pressure pressure;
   bool reached = false;  // the backend server was sent the request
 };
 
