Compress links; carry the share let in at the entry with each call

Cause: each call between zones carried some 600 bytes of headers and names that repeat from call to call; the pressure of a bottleneck was worked out from its own past shares, which its callers average with those of others. Ruled out: shares by the mix of requests at one entry, where few kinds arrive. Change: one deflate stream a link and direction; calls inherit importance and the share that was let in from the request at their entry; a bottleneck gives its capacity to the most important demand first.

--- a/src/core/admission/admission_control.cc
+++ b/src/core/admission/admission_control.cc
@@ -86,6 +86,7 @@
   if (state_ != base::BackendServerState::kReady) {
     return RefuseOffer(request, base::Reason::kBackendServerLeaving);
   }
+  counters_.offered[IndexOf(request.importance)] += request.demand_weight;
   AdmissionAnswer answer;
   Dispatch(now, &answer.actions);
   const auto [it, added] = entries_.try_emplace(request.call);
@@ -95,11 +96,14 @@
   entry.importance = request.importance;
   entry.under_way = request.under_way;
   entry.deadline = request.deadline;
+  entry.max_wait = request.max_wait;
+  entry.repeated = request.demand_weight == 0;
   entry.flow = QueueOf(entry).FindOrAdd(
       settings_.use_fairness ? request.account : base::AccountName(),
       WeightOf(request.account));
   const base::Reason reason = Place(&entry, now, &answer);
   if (reason == base::Reason::kNone) return answer;
+  if (entry.repeated) ++counters_.refused_again;
   Forget(&entry);
   AdmissionAnswer refusal = RefuseOffer(request, reason);
   refusal.actions = std::move(answer.actions);
@@ -341,6 +345,7 @@
 // call under way keeps a place at the service before it while it waits.
 base::Duration AdmissionControl::MaxWait(const CallEntry& entry,
                                          base::TimePoint now) const {
+  if (entry.max_wait) return std::min(*entry.max_wait, entry.deadline - now);
   const base::Duration wait = settings_.max_wait * WaitFactor(entry.importance);
   return std::min(entry.under_way ? wait / kUnderWayWaitDivisor : wait,
                   (entry.deadline - now) * WaitSixths(entry.importance) / 6);
@@ -349,6 +354,7 @@
 void AdmissionControl::Refuse(CallEntry* entry, base::Reason reason,
                               AdmissionActions* actions) {
   CountRefusal(entry->importance, reason);
+  if (entry->repeated) ++counters_.refused_again;
   actions->push_back({entry->call, AdmissionAction::Kind::kRefuse, reason,
                       RetryAfter(QueueRank(*entry))});
   Drop(entry);
--- a/src/core/admission/admission_type.h
+++ b/src/core/admission/admission_type.h
@@ -22,7 +22,12 @@
 
 // Bounds and pace of the learned concurrency limit.
 struct LimitSettings {
-  bool learn = true;  // false: the limit stays at max_limit
+  // False: the limit stays at the slots that the backend server reports, or at
+  // max_limit if it reports none.
+  bool learn = true;
+  // Part of the reported slots that is used: a server that is nearly full may
+  // turn slow.
+  double slot_share = 1.0;
   double initial_limit = 8;
   double min_limit = 2;
   double max_limit = 1000;
@@ -59,6 +64,11 @@
   base::Importance importance = base::Importance::kLookup;
   bool under_way = false;  // made by a request that runs elsewhere in the chain
   base::TimePoint deadline;
+  // Calls that it stands for in the demand: itself and its like that were held
+  // back; 0 if another backend server has counted it.
+  double demand_weight = 1.0;
+  // Longest wait; that of the settings if not given.
+  std::optional<base::Duration> max_wait = std::nullopt;
 };
 
 // What becomes of an offered call.
@@ -114,6 +124,10 @@
   std::array<std::size_t, base::kImportanceCount> queued_by_importance{};
   base::Duration best_latency{0};
   base::Duration service_time{0};
+  // Weights of first offers, by importance.
+  std::array<double, base::kImportanceCount> offered{};
+  // Calls refused here that another backend server had refused before.
+  std::uint64_t refused_again = 0;
   std::uint64_t started = 0;
   std::uint64_t finished = 0;
   std::array<std::uint64_t, static_cast<std::size_t>(base::Reason::kCount)>
--- a/src/core/admission/concurrency_limit.cc
+++ b/src/core/admission/concurrency_limit.cc
@@ -120,7 +120,8 @@
   if (slots == 0 || reported_slots_ == slots) return;
   if (!settings_.learn) {
     reported_slots_ = slots;
-    limit_ = std::min<double>(slots, settings_.max_limit);
+    limit_ = std::clamp(std::floor(slots * settings_.slot_share), 1.0,
+                        settings_.max_limit);
     return;
   }
   reported_slots_ = slots;
--- a/src/core/admission/fair_queue.h
+++ b/src/core/admission/fair_queue.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -22,6 +23,8 @@
   bool under_way = false;
   bool running = false;
   base::TimePoint deadline;
+  std::optional<base::Duration> max_wait;
+  bool repeated = false;  // refused by another backend server before
   base::TimePoint queued_at;
   base::TimePoint refuse_at;  // when it has waited too long
   Flow* flow = nullptr;
--- a/src/core/backend/backend_watch.cc
+++ b/src/core/backend/backend_watch.cc
@@ -48,8 +48,7 @@
 }
 
 void BackendWatch::OnLeave(const InstanceId& instance, base::TimePoint now) {
-  const bool current =
-      status_.instance.empty() || status_.instance == instance;
+  const bool current = status_.instance.empty() || status_.instance == instance;
   if (!current) return;
   drained_ = DrainMark{instance, born_ms_};
   status_.instance = instance;
--- a/src/core/base/event_table.cc
+++ b/src/core/base/event_table.cc
@@ -24,6 +24,7 @@
       {EventNumber::kExecutionFinished, "execution_finished", EventLevel::kDebug, "the backend server ended a request"},
       {EventNumber::kExecutionRefused, "execution_refused", EventLevel::kDebug, "the serving node refused a request before it ran"},
       {EventNumber::kLimitChanged, "limit_changed", EventLevel::kDebug, "the concurrency limit of a backend server changed"},
+      {EventNumber::kAdmittedShareChanged, "admitted_share_changed", EventLevel::kInfo, "the share of the demand that the backend server can follow changed"},
       {EventNumber::kRateGrantorChanged, "rate_grantor_changed", EventLevel::kInfo, "another node grants an account's rate"},
       {EventNumber::kRateGrantDropped, "rate_grant_dropped", EventLevel::kInfo, "a grant of rate came too late or from a past epoch and was dropped"},
       {EventNumber::kShardTaken, "shard_taken", EventLevel::kInfo, "this node became the primary of a shard"},
--- a/src/core/base/event_type.h
+++ b/src/core/base/event_type.h
@@ -26,6 +26,7 @@
   kExecutionFinished = 202,
   kExecutionRefused = 203,
   kLimitChanged = 204,
+  kAdmittedShareChanged = 205,
   // 3xx rates
   kRateGrantorChanged = 301,
   kRateGrantDropped = 302,
--- a/src/core/chain/call_graph.cc
+++ b/src/core/chain/call_graph.cc
@@ -22,8 +22,8 @@
 }  // namespace
 
 void CallGraph::OnStarted(std::uint64_t execution, const base::RouteName& route,
-                          base::TimePoint deadline) {
-  executions_[execution] = running_.emplace(deadline, route);
+                          const ChainOrigin& origin, base::TimePoint deadline) {
+  executions_[execution] = running_.emplace(deadline, Parent{route, origin});
 }
 
 void CallGraph::OnEnded(std::uint64_t execution) {
@@ -34,19 +34,33 @@
 }
 
 // Several executions can share the deadline; each gets its part of the match.
-void CallGraph::OnCall(const base::RouteName& called,
-                       base::TimePoint deadline) {
-  std::vector<const base::RouteName*> parents;
+std::optional<ChainOrigin> CallGraph::OnCall(const base::RouteName& called,
+                                             base::TimePoint deadline) {
+  std::vector<const Parent*> parents;
   auto it = running_.lower_bound(deadline - kLatest);
   for (; it != running_.end() && it->first <= deadline + kEarliest; ++it) {
     parents.push_back(&it->second);
   }
-  if (parents.empty()) return;
+  if (parents.empty()) return GuessOrigin(called, deadline);
   Evidence& evidence = evidence_[called];
   evidence.total += 1;
-  for (const base::RouteName* parent : parents) {
-    evidence.matches[*parent] += 1.0 / static_cast<double>(parents.size());
+  for (const Parent* parent : parents) {
+    evidence.matches[parent->route] +=
+        1.0 / static_cast<double>(parents.size());
   }
+  return parents.front()->origin;
+}
+
+// A call cannot outlive its parent. The guesses go round the executions that
+// are left, so that on average they show the mix of origins.
+std::optional<ChainOrigin> CallGraph::GuessOrigin(const base::RouteName& called,
+                                                  base::TimePoint deadline) {
+  std::vector<const Parent*> parents;
+  for (auto it = running_.lower_bound(deadline); it != running_.end(); ++it) {
+    if (Calls(it->second.route, called)) parents.push_back(&it->second);
+  }
+  if (parents.empty()) return std::nullopt;
+  return parents[guesses_++ % parents.size()]->origin;
 }
 
 void CallGraph::Fade() {
--- a/src/core/chain/call_graph.h
+++ b/src/core/chain/call_graph.h
@@ -3,10 +3,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
+#include "core/chain/chain_type.h"
 
 namespace dogwoodrail::core::chain {
 
@@ -18,11 +20,13 @@
  public:
   // Notes an execution with the deadline that the backend server was told.
   void OnStarted(std::uint64_t execution, const base::RouteName& route,
-                 base::TimePoint deadline);
+                 const ChainOrigin& origin, base::TimePoint deadline);
   // Notes its end.
   void OnEnded(std::uint64_t execution);
-  // Notes a call that the backend server made.
-  void OnCall(const base::RouteName& called, base::TimePoint deadline);
+  // Notes a call that the backend server made. Returns what it inherits, as far
+  // as can be told.
+  std::optional<ChainOrigin> OnCall(const base::RouteName& called,
+                                    base::TimePoint deadline);
   // Lets old evidence fade; called about once a second.
   void Fade();
 
@@ -41,11 +45,21 @@
     std::unordered_map<base::RouteName, double> matches;
     double total = 0;
   };
-  using Running = std::multimap<base::TimePoint, base::RouteName>;
+  struct Parent {
+    base::RouteName route;
+    ChainOrigin origin;
+  };
+  using Running = std::multimap<base::TimePoint, Parent>;
+
+  // Returns the origin of one of the executions that may have made a call that
+  // matches none.
+  std::optional<ChainOrigin> GuessOrigin(const base::RouteName& called,
+                                         base::TimePoint deadline);
 
   Running running_;  // by deadline
   std::unordered_map<std::uint64_t, Running::iterator> executions_;
   std::unordered_map<base::RouteName, Evidence> evidence_;
+  std::uint64_t guesses_ = 0;
 };
 
 }  // namespace dogwoodrail::core::chain
--- a/src/core/chain/chain_control.cc
+++ b/src/core/chain/chain_control.cc
@@ -1,5 +1,6 @@
 #include "core/chain/chain_control.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "core/base/hash_func.h"
@@ -17,7 +18,7 @@
 }
 
 ChainControl::ChainControl(const ChainSettings& settings, std::uint64_t seed)
-    : settings_(settings), load_(settings), gate_(settings, seed) {}
+    : settings_(settings), load_(settings), gate_(seed) {}
 
 void ChainControl::OnLoad(const base::ServiceName& service,
                           const LoadSample& sample, base::TimePoint now) {
@@ -25,14 +26,25 @@
   load_.OnSample(sample, now);
 }
 
-// The tightest service of the chain decides.
+// Each service of the chain has to follow; the tightest gives its name.
 Pressure ChainControl::PressureOf(const base::RouteName& route,
                                   base::TimePoint now) const {
-  Pressure result{own_mark_, load_.admit()};
+  Pressure result;
+  double least = 1.0;
+  const auto take = [&](ServiceMark mark, const AdmittedShares& shares) {
+    for (std::size_t it = 0; it < shares.size(); ++it) {
+      if (shares[it] < least) {
+        least = shares[it];
+        result.bottleneck = mark;
+      }
+      result.admit[it] = std::min(result.admit[it], shares[it]);
+    }
+  };
+  take(own_mark_, load_.admit());
   graph_.ForEachCalled([&](const base::RouteName& called) {
     if (!graph_.Calls(route, called)) return;
     const Pressure further = pressures_.Find(called, now);
-    if (further.admit < result.admit) result = further;
+    take(further.bottleneck, further.admit);
   });
   return result;
 }
@@ -40,7 +52,7 @@
 GateVerdict ChainControl::Decide(const GateRequest& request,
                                  base::TimePoint now) {
   if (!settings_.enabled) return {};
-  return gate_.Decide(request, pressures_.Find(request.route, now), now);
+  return gate_.Decide(request, pressures_.Find(request.route, now));
 }
 
 void ChainControl::Tick(base::TimePoint now) {
--- a/src/core/chain/chain_control.h
+++ b/src/core/chain/chain_control.h
@@ -24,10 +24,12 @@
   // Takes the load of the backend server beside this node.
   void OnLoad(const base::ServiceName& service, const LoadSample& sample,
               base::TimePoint now);
-  // Takes what an answer on a route tells.
-  void OnAnswer(const base::RouteName& route, const Pressure& pressure,
+  // Takes what an answer of one endpoint of a route tells, and how many
+  // endpoints there are.
+  void OnAnswer(const base::RouteName& route, const base::NodeAddress& endpoint,
+                std::size_t endpoint_count, const Pressure& pressure,
                 base::TimePoint now) {
-    pressures_.OnAnswer(route, pressure, now);
+    pressures_.OnAnswer(route, endpoint, endpoint_count, pressure, now);
   }
   // Returns what an answer of this node's backend server on a route tells.
   Pressure PressureOf(const base::RouteName& route, base::TimePoint now) const;
@@ -38,8 +40,8 @@
 
   // Learns the calls of the backend server.
   CallGraph& graph() { return graph_; }
-  // Share of the present demand that the backend server can follow.
-  double own_admit() const { return load_.admit(); }
+  // What the backend server can follow.
+  const LoadControl& load() const { return load_; }
   bool enabled() const { return settings_.enabled; }
 
  private:
--- a/src/core/chain/pressure_map.h
+++ b/src/core/chain/pressure_map.h
@@ -1,17 +1,22 @@
 #ifndef DOGWOODRAIL_CORE_CHAIN_PRESSURE_MAP_H_
 #define DOGWOODRAIL_CORE_CHAIN_PRESSURE_MAP_H_
 
+#include <cstddef>
 #include <unordered_map>
 
 #include "core/chain/chain_type.h"
 
 namespace dogwoodrail::core::chain {
 
-// What answers have told of the services behind each route.
+// What answers have told of the services behind each route. The endpoints of a
+// route share its load: one without pressure takes over what another cannot
+// follow, so the mean over all of them counts.
 class PressureMap {
  public:
-  // Takes what an answer on a route tells.
-  void OnAnswer(const base::RouteName& route, const Pressure& pressure,
+  // Takes what an answer of one endpoint of a route tells, and how many
+  // endpoints there are.
+  void OnAnswer(const base::RouteName& route, const base::NodeAddress& endpoint,
+                std::size_t endpoint_count, const Pressure& pressure,
                 base::TimePoint now);
   // Returns what is known of a route now; it fades without answers.
   Pressure Find(const base::RouteName& route, base::TimePoint now) const;
@@ -21,8 +26,15 @@
     Pressure pressure;
     base::TimePoint at;
   };
+  // The endpoints of a route that have told of pressure.
+  struct RouteEntry {
+    std::unordered_map<base::NodeAddress, Entry> endpoints;
+    std::size_t endpoint_count = 1;
+  };
+
+  static AdmittedShares SharesOf(const Entry& entry, base::TimePoint now);
 
-  std::unordered_map<base::RouteName, Entry> routes_;
+  std::unordered_map<base::RouteName, RouteEntry> routes_;
 };
 
 }  // namespace dogwoodrail::core::chain
--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -56,12 +56,11 @@
   const base::Duration pause =
       std::min(settings_.retry_min * (1U << doublings), settings_.retry_max);
   const auto half = static_cast<std::uint64_t>(pause.count() / 2);
-  next_at_ = now + pause / 2 + base::Duration(base::RandomBelow(random_, half + 1));
+  next_at_ =
+      now + pause / 2 + base::Duration(base::RandomBelow(random_, half + 1));
 }
 
-void ConfigFollower::OnSuspended(base::Duration time) {
-  confirmed_at_ -= time;
-}
+void ConfigFollower::OnSuspended(base::Duration time) { confirmed_at_ -= time; }
 
 bool ConfigFollower::IsFresh(base::TimePoint now) const {
   return confirmed_ && now - confirmed_at_ < settings_.key_lease;
--- a/src/core/route/endpoint_chooser.h
+++ b/src/core/route/endpoint_chooser.h
@@ -39,6 +39,8 @@
 
   // True if the service has an endpoint that takes calls.
   bool HasReady(const base::ServiceName& service) const;
+  // Number of endpoints of the service that take calls, ejected ones included.
+  std::size_t ReadyCount(const base::ServiceName& service) const;
   // Returns all endpoints for the operator.
   std::vector<EndpointSnapshot> Snapshot() const;
 
--- a/src/http/backend_connection.cc
+++ b/src/http/backend_connection.cc
@@ -158,8 +158,8 @@
       return Finish({Ran::kNotRun, Reason::kNoBackendServer,
                      std::move(response), "another instance"});
     case AnswerVerdict::kShed:
-      return Finish({Ran::kNotRun, Reason::kOverloaded, std::move(response),
-                     "shed"});
+      return Finish(
+          {Ran::kNotRun, Reason::kOverloaded, std::move(response), "shed"});
     case AnswerVerdict::kRan:
       return Finish({Ran::kRan, Reason::kNone, std::move(response), ""});
   }
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -20,8 +20,8 @@
   Connection(BackendClient& client, boost::asio::ip::tcp::endpoint address);
 
   // Executes one request; connects first if need be.
-  void Execute(ExecutionId id, Request request,
-               core::base::Duration timeout, Callback callback);
+  void Execute(ExecutionId id, Request request, core::base::Duration timeout,
+               Callback callback);
   // Ends the execution now.
   void Abort(core::base::Reason reason);
   // True if the connection is open and nothing unexpected has arrived.
--- a/src/http/message_func.cc
+++ b/src/http/message_func.cc
@@ -43,10 +43,9 @@
 
 const std::string* FindHeader(const std::vector<Header>& headers,
                               std::string_view name) {
-  const auto it =
-      std::find_if(headers.begin(), headers.end(), [name](const Header& row) {
-        return HeaderNameEquals(row.name, name);
-      });
+  const auto it = std::find_if(
+      headers.begin(), headers.end(),
+      [name](const Header& row) { return HeaderNameEquals(row.name, name); });
   return it == headers.end() ? nullptr : &it->value;
 }
 
--- a/src/node/backend_system.cc
+++ b/src/node/backend_system.cc
@@ -85,13 +85,12 @@
     const auto* facts = node_.config()->FindService(watch_.status().service);
     if (facts != nullptr) path = facts->health_path;
   }
-  ports_.check_health(
-      watch_.status(), path,
-      [this](const core::backend::HealthReport& report) {
-        const BackendServerState before = watch_.status().state;
-        watch_.OnHealth(report, Node::Now());
-        AnnounceChange(before, Node::Now());
-      });
+  ports_.check_health(watch_.status(), path,
+                      [this](const core::backend::HealthReport& report) {
+                        const BackendServerState before = watch_.status().state;
+                        watch_.OnHealth(report, Node::Now());
+                        AnnounceChange(before, Node::Now());
+                      });
 }
 
 void BackendSystem::AnnounceChange(BackendServerState before, TimePoint now) {
--- a/src/node/config_follow_system.cc
+++ b/src/node/config_follow_system.cc
@@ -31,8 +31,8 @@
   if (fresh == fresh_ || !node_.config()) return;
   fresh_ = fresh;
   if (fresh) return;
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      follower_.Age(now));
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(follower_.Age(now));
   emit_({EventNumber::kConfigurationStale,
          {},
          {},
@@ -52,14 +52,15 @@
     const bool unreadable =
         answer.result != FollowResult::kFailed && !answer.detail.empty();
     if (unreadable) {
-      emit_({EventNumber::kConfigurationRefused, {}, {},
+      emit_({EventNumber::kConfigurationRefused,
+             {},
+             {},
              "cause=" + answer.detail});
     }
     return;
   }
   const auto& current = node_.config();
-  const bool newer =
-      !current || current->number() < answer.config->number();
+  const bool newer = !current || current->number() < answer.config->number();
   if (newer) node_.SetConfig(answer.config);
 }
 
--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -1,4 +1,5 @@
 // The first half of EntrySystem: who a request is for and whether it may run.
+#include <algorithm>
 #include <utility>
 
 #include "core/base/hash_func.h"
@@ -25,6 +26,15 @@
   return MixHash(hash, StableHash(call.message.body));
 }
 
+// True if the importance of accounts tells some from others. If all have the
+// same, only that of their routes does.
+bool AccountsDiffer(const core::config::ConfigState& config) {
+  const auto& accounts = config.accounts();
+  return std::any_of(accounts.begin(), accounts.end(), [&](const auto& it) {
+    return it.second.importance != accounts.begin()->second.importance;
+  });
+}
+
 }  // namespace
 
 EntrySystem::EntrySystem(EntrySettings settings,
@@ -39,6 +49,7 @@
 void EntrySystem::SetConfig(
     std::shared_ptr<const core::config::ConfigState> config) {
   config_ = std::move(config);
+  accounts_ranked_ = config_ && AccountsDiffer(*config_);
 }
 
 void EntrySystem::OnRequest(http::ExchangeId exchange, http::Request message,
@@ -114,7 +125,9 @@
       key == nullptr ? nullptr : config_->FindAccount(key->account);
   if (account == nullptr) return Refusal{Reason::kUnknownKey, ""};
   call.account = key->account;
-  call.importance = account->importance.value_or(call.importance);
+  if (accounts_ranked_) {
+    call.importance = account->importance.value_or(call.importance);
+  }
   return std::nullopt;
 }
 
@@ -126,7 +139,11 @@
   by_exchange_[added.exchange] = index;
   if (Execution* parent = ParentOf(added)) parent->downstream.Begin(now);
   RetryBudgetOf(added.route).OnFresh(now);
-  if (added.hop > 0 && ports_.on_inner_call) ports_.on_inner_call(added);
+  if (added.hop > 0 && ports_.on_inner_call) {
+    const auto origin = ports_.on_inner_call(added);
+    added.importance = origin ? origin->importance : added.importance;
+    added.entry_share = origin ? origin->entry_share : added.entry_share;
+  }
   Emit(EventNumber::kRequestReceived, added,
        "route=" + added.route.name.value() +
            " hop=" + std::to_string(added.hop));
@@ -156,7 +173,11 @@
 void EntrySystem::EnterChain(EntryCall& call, TimePoint now) {
   if (ports_.chain_gate && call.hop == 0) {
     const auto verdict = ports_.chain_gate(call, now);
+    call.entry_share = verdict.share;
     if (!verdict.admitted) {
+      call.refusal_inputs =
+          " share=" + std::to_string(verdict.share) +
+          " bottleneck=" + std::to_string(verdict.bottleneck.value());
       return FinishWithRefusal(call, Reason::kChainOverloaded,
                                verdict.retry_after, now);
     }
--- a/src/node/entry_attempt.cc
+++ b/src/node/entry_attempt.cc
@@ -109,6 +109,7 @@
   message.route = call.route.name;
   message.service = call.service;
   message.importance = call.importance;
+  message.entry_share = call.entry_share;
   message.idempotent = call.route.idempotent;
   message.hop = call.hop;
   message.attempt = static_cast<std::uint8_t>(call.dispatches);
@@ -153,7 +154,7 @@
     return;
   }
   if (ports_.on_pressure) {
-    ports_.on_pressure(call->route.name, message.pressure, now);
+    ports_.on_pressure(*call, message.pressure, now);
   }
   if (AttemptBudget* budget = BudgetOf(*call)) {
     budget->Return(call->attempt->share, message.attempts_unspent);
@@ -282,7 +283,8 @@
   if (ports_.on_outcome) ports_.on_outcome(call, outcome, now);
   Emit(EventNumber::kRequestRefused, call,
        "reason=" + std::string(core::base::GetReasonSpec(outcome.reason).code) +
-           " ran=" + std::string(core::base::RanText(outcome.ran)));
+           " ran=" + std::string(core::base::RanText(outcome.ran)) +
+           " route=" + call.route.name.value() + call.refusal_inputs);
   const http::ExchangeId exchange = call.exchange;
   if (Execution* parent = ParentOf(call)) {
     parent->downstream.End(outcome.reason == Reason::kNone, now);
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -110,6 +110,7 @@
   core::base::Random random_;
   core::route::SplitPicker splits_;
   std::shared_ptr<const core::config::ConfigState> config_;
+  bool accounts_ranked_ = false;
   bool config_fresh_ = false;
   core::base::Pool<EntryCall> calls_;
   std::unordered_map<http::ExchangeId, EntryIndex> by_exchange_;
--- a/src/node/entry_type.h
+++ b/src/node/entry_type.h
@@ -55,11 +55,13 @@
   core::config::Route route;
   core::base::ServiceName service;  // of the route, or its choice of a split
   core::base::Importance importance = core::base::Importance::kLookup;
+  double entry_share = 1.0;  // of its like, let in at the entry of the chain
   std::uint8_t hop = 0;
   ExecutionIndex parent;  // the execution that made this call, if any
   core::base::TimePoint received_at;
   core::base::TimePoint deadline;
-  std::optional<core::base::Duration> time_told;  // by the caller
+  // Time that the caller gave it.
+  std::optional<core::base::Duration> time_told;
   std::optional<std::string> idempotency_key;
   std::uint64_t fingerprint = 0;
   http::Request message;
@@ -74,6 +76,7 @@
   bool may_have_run = false;
   core::base::Reason last_reason = core::base::Reason::kNone;
   core::base::Duration last_retry_after{0};
+  std::string refusal_inputs;  // what decided a refusal, for the event log
 };
 
 // Answer of a gate that a call passes before it is dispatched.
@@ -127,11 +130,12 @@
   // Decides whether a request may enter its chain; optional.
   std::function<core::chain::GateVerdict(const EntryCall&, TimePoint)>
       chain_gate;
-  // Observers of calls that the local backend server makes, and of what
-  // answers tell of the services behind a route; optional.
-  std::function<void(const EntryCall&)> on_inner_call;
-  std::function<void(const core::base::RouteName&, const core::chain::Pressure&,
-                     TimePoint)>
+  // Takes a call that the local backend server makes, and returns what it
+  // inherits from its request, if that can be told; optional.
+  std::function<std::optional<core::chain::ChainOrigin>(const EntryCall&)>
+      on_inner_call;
+  // Observer of what answers tell of the services behind a route; optional.
+  std::function<void(const EntryCall&, const core::chain::Pressure&, TimePoint)>
       on_pressure;
   // True while the local backend server runs requests; optional.
   std::function<bool()> backend_works;
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -49,8 +49,8 @@
     node_ = std::make_unique<Node>(loop_, settings_, emit_, ports_.dialect);
     config_ = std::make_unique<ConfigFollowSystem>(
         settings_.host.follow, RandomSeed(), *node_, ports_, emit_);
-    directory_ = std::make_unique<DirectorySystem>(settings_.host.directory,
-                                                   RandomSeed(), *node_, ports_);
+    directory_ = std::make_unique<DirectorySystem>(
+        settings_.host.directory, RandomSeed(), *node_, ports_);
     backend_ = std::make_unique<BackendSystem>(settings_.host.watch, *node_,
                                                ports_, emit_);
     Connect();
@@ -74,9 +74,8 @@
     backend_->SetDrainHook([this](const auto& mark, TimePoint now) {
       directory_->KeepDrainMark(mark, now);
     });
-    directory_->SetDrainMarkHook([this](const auto& mark) {
-      backend_->OnDrainMark(mark, Node::Now());
-    });
+    directory_->SetDrainMarkHook(
+        [this](const auto& mark) { backend_->OnDrainMark(mark, Node::Now()); });
     node_->serving().ports().on_finished =
         [this](const Execution&, const http::BackendOutcome& outcome,
                TimePoint now) { backend_->OnOutcome(outcome, now); };
@@ -85,14 +84,14 @@
 
   Result<void> Listen() {
     if (auto ok = node_->Listen(); !ok) return ok;
-    ready_server_ = MakeServer([this](http::ExchangeId exchange,
-                                      const http::Request& request) {
-      ready_server_->Answer(exchange, AnswerReady(request));
-    });
-    control_server_ = MakeServer([this](http::ExchangeId exchange,
-                                        const http::Request& request) {
-      OnControl(exchange, request);
-    });
+    ready_server_ = MakeServer(
+        [this](http::ExchangeId exchange, const http::Request& request) {
+          ready_server_->Answer(exchange, AnswerReady(request));
+        });
+    control_server_ = MakeServer(
+        [this](http::ExchangeId exchange, const http::Request& request) {
+          OnControl(exchange, request);
+        });
     if (auto ok = ListenAt(*ready_server_, settings_.host.ready_address); !ok) {
       return ok;
     }
@@ -158,8 +157,8 @@
       pending_acks_.push_back({exchange, now + kDrainWriteLimit});
       return;
     }
-    control_server_->Answer(
-        exchange, MakeTextResponse(kOk, "application/json", "{}"));
+    control_server_->Answer(exchange,
+                            MakeTextResponse(kOk, "application/json", "{}"));
   }
 
   void Tick(TimePoint now) {
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <cmath>
 #include <csignal>
 #include <ctime>
 #include <utility>
@@ -32,6 +33,10 @@
 constexpr std::size_t kContextBytes = 16;
 // Homes of rates are not recorded, so all act under the same epoch.
 constexpr core::shard::Epoch kHomeEpoch(2);
+// Longest wait for the backend server, as a part of the latency objective.
+constexpr int kWaitDivisor = 8;
+// Changes of the admitted share that are worth a line.
+constexpr double kLoggedShareStep = 0.1;
 // Shorter differences between the clocks are not worth acting on.
 constexpr core::base::Duration kLeastSuspension = std::chrono::milliseconds(20);
 
@@ -265,17 +270,18 @@
     request.route = call.route.name;
     request.importance = call.importance;
     request.latency_objective = call.route.latency_objective;
-    request.time_left = call.time_told;
     return chain_.Decide(request, now);
   };
   ports.on_inner_call = [this](const EntryCall& call) {
-    if (!call.time_told) return;
-    chain_.graph().OnCall(call.route.name, call.received_at + *call.time_told);
+    if (!call.time_told) return std::optional<core::chain::ChainOrigin>();
+    return chain_.graph().OnCall(call.route.name,
+                                 call.received_at + *call.time_told);
   };
-  ports.on_pressure = [this](const core::base::RouteName& route,
+  ports.on_pressure = [this](const EntryCall& call,
                              const core::chain::Pressure& pressure,
                              TimePoint now) {
-    chain_.OnAnswer(route, pressure, now);
+    chain_.OnAnswer(call.route.name, call.attempt->to,
+                    chooser_.ReadyCount(call.service), pressure, now);
   };
 }
 
@@ -285,31 +291,66 @@
   ports.on_started = [this](const Execution& execution, TimePoint now) {
     const auto told = std::chrono::duration_cast<std::chrono::milliseconds>(
         execution.deadline - now);
-    chain_.graph().OnStarted(NumberOf(execution.index), execution.message.route,
-                             now + told);
+    chain_.graph().OnStarted(
+        NumberOf(execution.index), execution.message.route,
+        {execution.message.importance, execution.message.entry_share},
+        now + told);
   };
   ports.on_ended = [this](const Execution& execution) {
     chain_.graph().OnEnded(NumberOf(execution.index));
   };
+  ports.max_wait = [this](const wire::CallMessage& message) {
+    return MaxWaitOf(message);
+  };
   ports.pressure_of = [this](const core::base::RouteName& route,
                              TimePoint now) {
     return chain_.PressureOf(route, now);
   };
 }
 
+// A call that waits holds a place at each server before it in its chain.
+std::optional<core::base::Duration> Node::MaxWaitOf(
+    const wire::CallMessage& message) const {
+  const auto* route = config_ ? config_->FindRoute(message.route) : nullptr;
+  if (route == nullptr || route->latency_objective.count() == 0) {
+    return std::nullopt;
+  }
+  return core::base::Duration(route->latency_objective) / kWaitDivisor;
+}
+
 void Node::TickChain(TimePoint now) {
   const auto snapshot = admission_.Snapshot();
   core::chain::LoadSample sample;
   sample.in_flight = snapshot.in_flight;
   sample.queued = snapshot.queued;
   sample.limit = snapshot.limit;
-  for (const Reason it : {Reason::kQueueFull, Reason::kOverloaded}) {
-    sample.refused += snapshot.refused_by_reason[static_cast<std::size_t>(it)];
-  }
+  sample.finished = snapshot.finished;
+  sample.lost = snapshot.refused_again;
+  sample.offered = snapshot.offered;
   chain_.OnLoad(serving_.backend().service, sample, now);
+  LogAdmittedShare(sample);
   chain_.Tick(now);
 }
 
+void Node::LogAdmittedShare(const core::chain::LoadSample& sample) {
+  const auto& load = chain_.load();
+  if (std::abs(load.common_share() - logged_share_) < kLoggedShareStep) return;
+  logged_share_ = load.common_share();
+  std::string detail = "share=" + std::to_string(logged_share_) +
+                       " capacity=" + std::to_string(load.capacity()) +
+                       " in_flight=" + std::to_string(sample.in_flight) +
+                       " queued=" + std::to_string(sample.queued) +
+                       " limit=" + std::to_string(sample.limit);
+  for (std::size_t it = 0; it < load.admit().size(); ++it) {
+    detail += " " +
+              std::string(core::base::ImportanceText(
+                  static_cast<core::base::Importance>(it))) +
+              "=" + std::to_string(load.admit()[it]) + "/" +
+              std::to_string(load.demand()[it]);
+  }
+  emit_({EventNumber::kAdmittedShareChanged, {}, {}, std::move(detail)});
+}
+
 RateOwners Node::MakeRateOwners() {
   using core::shard::ShardIndex;
   RateOwners owners;
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -105,7 +105,12 @@
   http::CallerServerHooks MakeCallerHooks();
   void AddChainPorts(EntryPorts& ports);
   void AddChainPorts(ServingPorts& ports);
+  // Returns the longest wait of a call for the backend server, if its route
+  // has a latency objective.
+  std::optional<core::base::Duration> MaxWaitOf(
+      const wire::CallMessage& message) const;
   void TickChain(TimePoint now);
+  void LogAdmittedShare(const core::chain::LoadSample& sample);
   RateOwners MakeRateOwners();
   void AddPoisonPorts(ServingPorts& ports);
   void SetLinkHandlers();
@@ -151,6 +156,7 @@
   std::vector<std::function<void(TimePoint)>> further_systems_;
   std::function<void(core::base::Duration)> on_suspended_;
   core::base::Duration suspended_total_{0};
+  double logged_share_ = 1.0;
   bool stopping_ = false;
   bool accepting_stopped_ = false;
   bool idle_closed_ = false;
--- a/src/node/reply_func.cc
+++ b/src/node/reply_func.cc
@@ -69,8 +69,8 @@
       {std::string(http::header::kRequestId), facts.request.value()});
   response.headers.push_back({std::string(http::header::kRan),
                               std::string(core::base::RanText(facts.ran))});
-  response.headers.push_back({std::string(http::header::kAttempts),
-                              std::to_string(facts.attempts)});
+  response.headers.push_back(
+      {std::string(http::header::kAttempts), std::to_string(facts.attempts)});
 }
 
 }  // namespace dogwoodrail::node
--- a/src/node/serving_base.cc
+++ b/src/node/serving_base.cc
@@ -1,5 +1,6 @@
 #include "node/serving_base.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -37,6 +38,14 @@
       static_cast<std::uint32_t>(id.value() >> kGenerationShift)};
 }
 
+// Returns the calls that one stands for: a share of its like was held back at
+// the entry, and a repeated dispatch was counted elsewhere.
+double DemandWeightOf(const wire::CallMessage& message) {
+  constexpr double kLeastShare = 0.02;
+  if (message.attempt > 1) return 0;
+  return 1.0 / std::max(message.entry_share, kLeastShare);
+}
+
 // Returns how admission counts the end of an execution. A server error after a
 // call to a further service failed says nothing of this backend server.
 ExecutionResult ResultOf(const http::BackendOutcome& outcome,
@@ -84,7 +93,9 @@
   request.account = added.message.account;
   request.importance = added.message.importance;
   request.under_way = added.message.hop > 0;
+  request.demand_weight = DemandWeightOf(added.message);
   request.deadline = added.deadline;
+  if (ports_.max_wait) request.max_wait = ports_.max_wait(added.message);
   const auto answer = admission_.Offer(request, now);
   if (answer.verdict == AdmissionVerdict::kRun) {
     Start(added, now);
--- a/src/node/serving_type.h
+++ b/src/node/serving_type.h
@@ -64,6 +64,9 @@
   // Asked right before an execution; a reason refuses it as not run. Optional.
   std::function<std::optional<core::base::Reason>(const Execution&, TimePoint)>
       may_start;
+  // Returns the longest wait of a call for the backend server; optional.
+  std::function<std::optional<core::base::Duration>(const wire::CallMessage&)>
+      max_wait;
   // Returns what answers on a route tell of the services behind it; optional.
   std::function<core::chain::Pressure(const core::base::RouteName&, TimePoint)>
       pressure_of;
--- a/src/node/settings_load.cc
+++ b/src/node/settings_load.cc
@@ -120,8 +120,8 @@
 
   void CheckGiven(const char* key, const std::string& value) {
     if (!value.empty()) return;
-    FailFile(" [host] " + std::string(key) + ": missing; allowed: " +
-             AllowedValues(*FindSetting("host", key)));
+    FailFile(" [host] " + std::string(key) +
+             ": missing; allowed: " + AllowedValues(*FindSetting("host", key)));
   }
 
   void CheckDifferent(const char* key_a, const std::string& a,
--- a/src/wire/call_codec.cc
+++ b/src/wire/call_codec.cc
@@ -5,6 +5,34 @@
 namespace dogwoodrail::wire {
 namespace {
 
+constexpr unsigned kBitsPerShare = 8;
+constexpr std::uint32_t kFullShare = 0xff;
+
+std::uint8_t PackShare(double share) {
+  return static_cast<std::uint8_t>(share * kFullShare);
+}
+
+double UnpackShare(std::uint32_t packed) {
+  return static_cast<double>(packed & kFullShare) / kFullShare;
+}
+
+// Packs shares from 0 to 1 into a byte each.
+std::uint32_t PackShares(const core::chain::AdmittedShares& shares) {
+  std::uint32_t packed = 0;
+  for (std::size_t it = 0; it < shares.size(); ++it) {
+    packed |= std::uint32_t{PackShare(shares[it])} << (it * kBitsPerShare);
+  }
+  return packed;
+}
+
+core::chain::AdmittedShares UnpackShares(std::uint32_t packed) {
+  core::chain::AdmittedShares shares{};
+  for (std::size_t it = 0; it < shares.size(); ++it) {
+    shares[it] = UnpackShare(packed >> (it * kBitsPerShare));
+  }
+  return shares;
+}
+
 using core::base::CallId;
 using core::base::Duration;
 using core::base::ErrorCode;
@@ -78,6 +106,7 @@
   call.add_remaining_us(message.remaining.count());
   call.add_start_within_us(message.start_within.count());
   call.add_fingerprint(message.fingerprint);
+  call.add_entry_share(PackShare(message.entry_share));
   call.add_method(method);
   call.add_target(target);
   call.add_headers(headers);
@@ -106,6 +135,7 @@
   message.remaining = Duration(call->remaining_us());
   message.start_within = Duration(call->start_within_us());
   message.fingerprint = call->fingerprint();
+  message.entry_share = UnpackShare(call->entry_share());
   message.method = call->method()->str();
   message.target = call->target()->str();
   message.headers = ReadHeaders(call->headers());
@@ -130,9 +160,9 @@
   answer.add_body(body);
   answer.add_load(load);
   answer.add_reached(message.reached);
-  if (message.pressure.admit < 1.0) {
+  if (!message.pressure.IsCalm()) {
     answer.add_bottleneck(message.pressure.bottleneck.value());
-    answer.add_admit(static_cast<float>(message.pressure.admit));
+    answer.add_admit(PackShares(message.pressure.admit));
   }
   fbb.Finish(answer.Finish());
   return EncodeFrame(FrameKind::kAnswer, fbb);
@@ -156,9 +186,7 @@
   message.body = ReadBody(answer->body());
   message.reached = answer->reached();
   message.pressure.bottleneck = core::chain::ServiceMark(answer->bottleneck());
-  // Written to refuse not-a-number too.
-  const double admit = answer->admit();
-  message.pressure.admit = admit >= 0 && admit <= 1 ? admit : 1.0;
+  message.pressure.admit = UnpackShares(answer->admit());
   if (const fbs::LoadHint* load = answer->load(); load != nullptr) {
     message.load =
         core::route::LoadHint{load->in_flight(), load->limit(), load->queued()};
--- a/src/wire/call_generated.h
+++ b/src/wire/call_generated.h
@@ -214,7 +214,8 @@
     VT_METHOD = 30,
     VT_TARGET = 32,
     VT_HEADERS = 34,
-    VT_BODY = 36
+    VT_BODY = 36,
+    VT_ENTRY_SHARE = 38
   };
   uint64_t call() const { return GetField<uint64_t>(VT_CALL, 0); }
   const flatbuffers::String* request() const {
@@ -256,6 +257,7 @@
   const flatbuffers::Vector<uint8_t>* body() const {
     return GetPointer<const flatbuffers::Vector<uint8_t>*>(VT_BODY);
   }
+  uint8_t entry_share() const { return GetField<uint8_t>(VT_ENTRY_SHARE, 255); }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -283,6 +285,7 @@
            verifier.VerifyVector(headers()) &&
            verifier.VerifyVectorOfTables(headers()) &&
            VerifyOffset(verifier, VT_BODY) && verifier.VerifyVector(body()) &&
+           VerifyField<uint8_t>(verifier, VT_ENTRY_SHARE, 1) &&
            verifier.EndTable();
   }
 };
@@ -344,6 +347,9 @@
   void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
     fbb_.AddOffset(Call::VT_BODY, body);
   }
+  void add_entry_share(uint8_t entry_share) {
+    fbb_.AddElement<uint8_t>(Call::VT_ENTRY_SHARE, entry_share, 255);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -374,7 +380,8 @@
     flatbuffers::Offset<flatbuffers::Vector<
         flatbuffers::Offset<dogwoodrail::wire::fbs::HeaderField>>>
         headers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    uint8_t entry_share = 255) {
   CallBuilder builder_(_fbb);
   builder_.add_fingerprint(fingerprint);
   builder_.add_start_within_us(start_within_us);
@@ -389,6 +396,7 @@
   builder_.add_account(account);
   builder_.add_request(request);
   builder_.add_attempts_share(attempts_share);
+  builder_.add_entry_share(entry_share);
   builder_.add_attempt(attempt);
   builder_.add_hop(hop);
   builder_.add_idempotent(idempotent);
@@ -411,7 +419,7 @@
     const char* method = nullptr, const char* target = nullptr,
     const std::vector<flatbuffers::Offset<dogwoodrail::wire::fbs::HeaderField>>*
         headers = nullptr,
-    const std::vector<uint8_t>* body = nullptr) {
+    const std::vector<uint8_t>* body = nullptr, uint8_t entry_share = 255) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto account__ = account ? _fbb.CreateString(account) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
@@ -427,7 +435,7 @@
   return dogwoodrail::wire::fbs::CreateCall(
       _fbb, call, request__, account__, route__, service__, importance,
       idempotent, hop, attempt, attempts_share, remaining_us, start_within_us,
-      fingerprint, method__, target__, headers__, body__);
+      fingerprint, method__, target__, headers__, body__, entry_share);
 }
 
 struct Cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -570,7 +578,7 @@
   }
   bool reached() const { return GetField<uint8_t>(VT_REACHED, 0) != 0; }
   uint32_t bottleneck() const { return GetField<uint32_t>(VT_BOTTLENECK, 0); }
-  float admit() const { return GetField<float>(VT_ADMIT, 1.0f); }
+  uint32_t admit() const { return GetField<uint32_t>(VT_ADMIT, 4294967295); }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -586,7 +594,7 @@
            VerifyOffset(verifier, VT_LOAD) && verifier.VerifyTable(load()) &&
            VerifyField<uint8_t>(verifier, VT_REACHED, 1) &&
            VerifyField<uint32_t>(verifier, VT_BOTTLENECK, 4) &&
-           VerifyField<float>(verifier, VT_ADMIT, 4) && verifier.EndTable();
+           VerifyField<uint32_t>(verifier, VT_ADMIT, 4) && verifier.EndTable();
   }
 };
 
@@ -631,8 +639,8 @@
   void add_bottleneck(uint32_t bottleneck) {
     fbb_.AddElement<uint32_t>(Answer::VT_BOTTLENECK, bottleneck, 0);
   }
-  void add_admit(float admit) {
-    fbb_.AddElement<float>(Answer::VT_ADMIT, admit, 1.0f);
+  void add_admit(uint32_t admit) {
+    fbb_.AddElement<uint32_t>(Answer::VT_ADMIT, admit, 4294967295);
   }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -653,7 +661,8 @@
         headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0,
-    bool reached = false, uint32_t bottleneck = 0, float admit = 1.0f) {
+    bool reached = false, uint32_t bottleneck = 0,
+    uint32_t admit = 4294967295) {
   AnswerBuilder builder_(_fbb);
   builder_.add_retry_after_us(retry_after_us);
   builder_.add_call(call);
@@ -683,7 +692,8 @@
         headers = nullptr,
     const std::vector<uint8_t>* body = nullptr,
     flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0,
-    bool reached = false, uint32_t bottleneck = 0, float admit = 1.0f) {
+    bool reached = false, uint32_t bottleneck = 0,
+    uint32_t admit = 4294967295) {
   auto headers__ =
       headers ? _fbb.CreateVector<
                     flatbuffers::Offset<dogwoodrail::wire::fbs::HeaderField>>(
--- a/src/wire/call_message.h
+++ b/src/wire/call_message.h
@@ -36,6 +36,7 @@
   core::base::Duration remaining{0};
   core::base::Duration start_within{0};  // zero: no limit of its own
   std::uint64_t fingerprint = 0;
+  double entry_share = 1.0;  // of such requests, let in at the entry
   std::string method;
   std::string target;
   std::vector<HeaderField> headers;
--- a/src/wire/link.cc
+++ b/src/wire/link.cc
@@ -1,5 +1,6 @@
 #include "wire/link.h"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 
@@ -23,7 +24,11 @@
 
 Links::Link::Link(asio::io_context& loop, LinkId id, LinkSettings settings,
                   Hooks hooks)
-    : socket_(loop), id_(id), settings_(settings), hooks_(std::move(hooks)) {}
+    : socket_(loop), id_(id), settings_(settings), hooks_(std::move(hooks)) {
+  if (!settings_.compress) return;
+  deflater_ = std::make_unique<StreamDeflater>();
+  inflater_ = std::make_unique<StreamInflater>();
+}
 
 void Links::Link::StartAccepted(tcp::socket socket, Bytes hello) {
   socket_ = std::move(socket);
@@ -95,12 +100,27 @@
 
 void Links::Link::OnRead(std::size_t n) {
   last_received_ = Clock::now();
-  decoder_.Append(read_buf_.data(), n);
+  if (!inflater_) {
+    decoder_.Append(read_buf_.data(), n);
+    if (TakeFrames()) Read();
+    return;
+  }
+  const bool sound = inflater_->Inflate(
+      read_buf_.data(), n, [this](const std::uint8_t* data, std::size_t size) {
+        decoder_.Append(data, size);
+        return TakeFrames();
+      });
+  if (closed_) return;
+  if (!sound) return hooks_.on_refused(*this, "damaged stream");
+  Read();
+}
+
+bool Links::Link::TakeFrames() {
   while (!closed_) {
     auto frame = decoder_.Next();
     if (!frame) {
       hooks_.on_refused(*this, frame.error().detail);
-      return;
+      return false;
     }
     if (!*frame) break;
     if ((*frame)->kind != FrameKind::kPing &&
@@ -109,7 +129,7 @@
     }
     hooks_.on_frame(*this, **frame);
   }
-  if (!closed_) Read();
+  return !closed_;
 }
 
 void Links::Link::Write() {
@@ -122,14 +142,20 @@
     queue_.pop_front();
     ++next_write_;
   }
+  writing_bytes_ = bytes;
+  if (deflater_) {
+    const Bytes packed = deflater_->Compress(writing_);
+    writing_.assign(1, packed);
+  }
   for (const Bytes& it : writing_) buffers.push_back(asio::buffer(it));
   write_in_progress_ = true;
   asio::async_write(
       socket_, buffers,
-      [self = shared_from_this()](const error_code& ec, std::size_t n) {
+      [self = shared_from_this()](const error_code& ec, std::size_t /*n*/) {
         self->write_in_progress_ = false;
         self->writing_.clear();
-        self->queued_bytes_ -= std::min(n, self->queued_bytes_);
+        self->queued_bytes_ -=
+            std::min(self->writing_bytes_, self->queued_bytes_);
         if (self->closed_) return;
         if (ec) {
           self->Close("write: " + ec.message());
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -12,6 +12,7 @@
 
 #include "wire/frame_func.h"
 #include "wire/links.h"
+#include "wire/stream_codec.h"
 
 namespace dogwoodrail::wire {
 
@@ -62,6 +63,8 @@
   void Begin();
   void Read();
   void OnRead(std::size_t n);
+  // Handles the whole frames that have come; false once the link has ended.
+  bool TakeFrames();
   void Write();
 
   boost::asio::ip::tcp::socket socket_;
@@ -73,6 +76,9 @@
   std::array<std::uint8_t, 65536> read_buf_{};
   std::deque<Bytes> queue_;
   std::vector<Bytes> writing_;
+  std::size_t writing_bytes_ = 0;  // as queued
+  std::unique_ptr<StreamDeflater> deflater_;  // set if the link compresses
+  std::unique_ptr<StreamInflater> inflater_;
   std::size_t queued_bytes_ = 0;
   std::uint64_t next_sequence_ = 0;
   std::uint64_t next_write_ = 0;
