Accounts raise the importance of routes instead of replacing it

Ruled out: the capacity given to money, which the log shows as 1.000 all along. Change: an account raises its requests by the steps that it stands above the least important; tokens of requests that have not run come back; the standing queue and losses are taken from the least important demand.

--- a/src/core/chain/load_control.cc
+++ b/src/core/chain/load_control.cc
@@ -16,6 +16,8 @@
 constexpr double kMostCorrection = 0.1;
 constexpr double kCorrectionGrowth = 0.01;
 constexpr double kLeastGivenPart = 0.3;
+// Calls a second below which there is no demand worth a share.
+constexpr double kNoDemand = 0.01;
 // Part of the way to a new share that is gone in one step.
 constexpr double kStepPart = 0.5;
 // Calls in flight below this part of the limit leave no doubt of room.
@@ -68,7 +70,9 @@
     common_share_ = 1.0;
   } else {
     capacity_ = Capacity(sample);
-    wanted = Allot(capacity_);
+    const double backlog =
+        static_cast<double>(sample.queued) / Seconds(settings_.drain_time);
+    wanted = Allot(capacity_, backlog);
   }
   for (std::size_t it = 0; it < admit_.size(); ++it) {
     admit_[it] += kStepPart * (wanted[it] - admit_[it]);
@@ -80,9 +84,7 @@
 double LoadControl::Capacity(const LoadSample& sample) const {
   const double full =
       static_cast<double>(sample.limit) * finished_ / in_flight_;
-  const double backlog =
-      static_cast<double>(sample.queued) / Seconds(settings_.drain_time);
-  return std::max(0.0, given_part_ * settings_.utilization * full - backlog);
+  return settings_.utilization * full;
 }
 
 void LoadControl::Correct(double lost, double finished) {
@@ -95,15 +97,22 @@
   given_part_ = std::clamp(given_part_, kLeastGivenPart, 1.0);
 }
 
-AdmittedShares LoadControl::Allot(double capacity) {
+AdmittedShares LoadControl::Allot(double capacity, double backlog) {
   const double total = std::accumulate(demand_.begin(), demand_.end(), 0.0);
-  common_share_ =
-      std::clamp(capacity / std::max(total, 1e-9), kLeastAdmit, 1.0);
+  common_share_ = std::clamp(
+      (given_part_ * capacity - backlog) / std::max(total, kNoDemand),
+      kLeastAdmit, 1.0);
   const double least = settings_.min_share * common_share_;
+  const auto lowest = std::find_if(demand_.begin(), demand_.end(),
+                                   [](double it) { return it > kNoDemand; }) -
+                      demand_.begin();
   AdmittedShares shares = kAllAdmitted;
   for (std::size_t it = shares.size(); it-- > 0;) {
-    if (demand_[it] <= 0) continue;
-    shares[it] = std::clamp(capacity / demand_[it], least, 1.0);
+    if (demand_[it] <= kNoDemand) continue;
+    const bool is_lowest = static_cast<std::ptrdiff_t>(it) == lowest;
+    const double left =
+        is_lowest ? std::max(0.0, given_part_ * capacity - backlog) : capacity;
+    shares[it] = std::clamp(left / demand_[it], least, 1.0);
     capacity = std::max(0.0, capacity - shares[it] * demand_[it]);
   }
   return shares;
--- a/src/core/chain/load_control.h
+++ b/src/core/chain/load_control.h
@@ -48,19 +48,21 @@
 
  private:
   void Step(const LoadSample& sample, double seconds);
-  // Capacity in calls a second, less what the standing queue takes.
+  // Capacity in calls a second.
   double Capacity(const LoadSample& sample) const;
-  // Takes what was lost into the part of the capacity that is given out.
+  // Takes what was lost into the part of the rest that is given out.
   void Correct(double lost, double finished);
-  // Gives the capacity out, the most important first.
-  AdmittedShares Allot(double capacity);
+  // Gives the capacity out, the most important first. The standing queue takes
+  // its part from the least important.
+  AdmittedShares Allot(double capacity, double backlog);
 
   ChainSettings settings_;
   AdmittedShares admit_ = kAllAdmitted;
   double common_share_ = 1.0;
   double capacity_ = 0;
-  // Part of the capacity that is given out. A chain that loses a call makes no
-  // more of them, so that the demand seems smaller than it is.
+  // Part of what is left for the least important that is given out. A chain
+  // that loses a call makes no more of them, so that the demand seems smaller
+  // than it is.
   double given_part_ = 1.0;
   // Averages: calls a second, and calls.
   std::array<double, base::kImportanceCount> demand_{};
--- a/src/core/config/config_type.h
+++ b/src/core/config/config_type.h
@@ -32,7 +32,8 @@
   std::uint32_t rate_per_s = 0;  // 0: no limit; tickets have to name one
   std::uint32_t burst = 0;
   EntryState state = EntryState::kActive;
-  // Goes before the importance of the route.
+  // Accounts above the least important one raise the importance of their
+  // requests by as many steps.
   std::optional<base::Importance> importance = std::nullopt;
 };
 
--- a/src/core/rate/rate_limiter.cc
+++ b/src/core/rate/rate_limiter.cc
@@ -117,6 +117,17 @@
   return decision;
 }
 
+// A token that the grantor counts as spent is gone.
+void RateLimiter::Refund(const AccountName& name, TimePoint now) {
+  const auto it = accounts_.find(name);
+  if (it == accounts_.end() || it->second.removed) return;
+  Account& account = it->second;
+  DropLapsed(&account, now);
+  if (account.spent == account.reported || now >= account.lapses) return;
+  --account.spent;
+  ++account.held;
+}
+
 void RateLimiter::Cancel(const AccountName& name, CallId call) {
   const auto it = accounts_.find(name);
   if (it == accounts_.end()) return;
--- a/src/core/rate/rate_limiter.h
+++ b/src/core/rate/rate_limiter.h
@@ -24,6 +24,8 @@
 
   // Decides a call. A pending one is decided later by a ResolveCall action.
   RateDecision Admit(const AccountName& account, CallId call, TimePoint now);
+  // Gives back the token of a call that was admitted and has not run.
+  void Refund(const AccountName& account, TimePoint now);
   // Forgets a pending call whose caller went away.
   void Cancel(const AccountName& account, CallId call);
   // Handles an answer of a grantor.
--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -10,6 +10,7 @@
 namespace dogwoodrail::node {
 
 using core::base::EventNumber;
+using core::base::Importance;
 using core::base::Ran;
 using core::base::Reason;
 
@@ -26,13 +27,25 @@
   return MixHash(hash, StableHash(call.message.body));
 }
 
-// True if the importance of accounts tells some from others. If all have the
-// same, only that of their routes does.
-bool AccountsDiffer(const core::config::ConfigState& config) {
-  const auto& accounts = config.accounts();
-  return std::any_of(accounts.begin(), accounts.end(), [&](const auto& it) {
-    return it.second.importance != accounts.begin()->second.importance;
-  });
+// Returns the least importance of an account, none if no account has one.
+std::optional<Importance> LeastAccountImportance(
+    const core::config::ConfigState& config) {
+  std::optional<Importance> least;
+  for (const auto& [name, account] : config.accounts()) {
+    if (!account.importance) continue;
+    least = std::min(least.value_or(*account.importance), *account.importance);
+  }
+  return least;
+}
+
+// Raises the importance of a route by the steps that the account is above the
+// least important one. Routes keep their order within an account.
+Importance RaiseBy(Importance importance, Importance account,
+                   Importance least) {
+  const int steps = static_cast<int>(account) - static_cast<int>(least);
+  const int raised = static_cast<int>(importance) + std::max(steps, 0);
+  return static_cast<Importance>(
+      std::min(raised, static_cast<int>(Importance::kMoney)));
 }
 
 }  // namespace
@@ -49,7 +62,7 @@
 void EntrySystem::SetConfig(
     std::shared_ptr<const core::config::ConfigState> config) {
   config_ = std::move(config);
-  accounts_ranked_ = config_ && AccountsDiffer(*config_);
+  least_account_ = config_ ? LeastAccountImportance(*config_) : std::nullopt;
 }
 
 void EntrySystem::OnRequest(http::ExchangeId exchange, http::Request message,
@@ -125,8 +138,9 @@
       key == nullptr ? nullptr : config_->FindAccount(key->account);
   if (account == nullptr) return Refusal{Reason::kUnknownKey, ""};
   call.account = key->account;
-  if (accounts_ranked_) {
-    call.importance = account->importance.value_or(call.importance);
+  if (least_account_ && account->importance) {
+    call.importance =
+        RaiseBy(call.importance, *account->importance, *least_account_);
   }
   return std::nullopt;
 }
@@ -200,6 +214,7 @@
     return FinishWithRefusal(*call, answer.reason, answer.retry_after, now);
   }
   if (call->stage == EntryStage::kRate) {
+    call->counted = true;
     return EnterStage(*call, EntryStage::kOnce, now);
   }
   call->start_before = answer.start_before;
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -110,7 +110,8 @@
   core::base::Random random_;
   core::route::SplitPicker splits_;
   std::shared_ptr<const core::config::ConfigState> config_;
-  bool accounts_ranked_ = false;
+  // Importance of the least important account, if accounts have any.
+  std::optional<core::base::Importance> least_account_;
   bool config_fresh_ = false;
   core::base::Pool<EntryCall> calls_;
   std::unordered_map<http::ExchangeId, EntryIndex> by_exchange_;
--- a/src/node/entry_type.h
+++ b/src/node/entry_type.h
@@ -73,6 +73,7 @@
   core::base::TimePoint resume_at;
   core::base::TimePoint start_before;  // zero: no limit but the deadline
   std::optional<Attempt> attempt;
+  bool counted = false;  // a token of the account was spent on it
   bool may_have_run = false;
   core::base::Reason last_reason = core::base::Reason::kNone;
   core::base::Duration last_retry_after{0};
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -33,8 +33,9 @@
 constexpr std::size_t kContextBytes = 16;
 // Homes of rates are not recorded, so all act under the same epoch.
 constexpr core::shard::Epoch kHomeEpoch(2);
-// Longest wait for the backend server, as a part of the latency objective.
-constexpr int kWaitDivisor = 8;
+// Longest waits for the backend server, as parts of the latency objective.
+constexpr int kEntryWaitDivisor = 8;
+constexpr int kInnerWaitDivisor = 2;
 // Changes of the admitted share that are worth a line.
 constexpr double kLoggedShareStep = 0.1;
 // Shorter differences between the clocks are not worth acting on.
@@ -252,6 +253,9 @@
   ports.on_outcome = [this](const EntryCall& call, const EntryOutcome& outcome,
                             TimePoint now) {
     if (settings_.features.shards) once_.OnOutcome(call, outcome, now);
+    if (call.counted && outcome.ran == core::base::Ran::kNotRun) {
+      rates_.Refund(call.account, now);
+    }
     metrics_.OnRequestEnded(call.importance, outcome.reason,
                             now - call.received_at);
   };
@@ -308,14 +312,16 @@
   };
 }
 
-// A call that waits holds a place at each server before it in its chain.
+// A caller can be sent elsewhere early; a call within a chain has cost work
+// that is lost with it.
 std::optional<core::base::Duration> Node::MaxWaitOf(
     const wire::CallMessage& message) const {
   const auto* route = config_ ? config_->FindRoute(message.route) : nullptr;
   if (route == nullptr || route->latency_objective.count() == 0) {
     return std::nullopt;
   }
-  return core::base::Duration(route->latency_objective) / kWaitDivisor;
+  return core::base::Duration(route->latency_objective) /
+         (message.hop > 0 ? kInnerWaitDivisor : kEntryWaitDivisor);
 }
 
 void Node::TickChain(TimePoint now) {
--- a/src/node/rate_system.cc
+++ b/src/node/rate_system.cc
@@ -108,6 +108,10 @@
   entry_.OnGateAnswer(index, ToGateAnswer(decision), now);
 }
 
+void RateSystem::Refund(const AccountName& account, TimePoint now) {
+  limiter_.Refund(account, now);
+}
+
 void RateSystem::OnFrame(wire::LinkId from, const wire::Bytes& payload,
                          TimePoint now) {
   const wire::LinkPeer* peer = links_.PeerOf(from);
--- a/src/node/rate_system.h
+++ b/src/node/rate_system.h
@@ -49,6 +49,8 @@
   void OnShardAction(const core::shard::ShardAction& action, TimePoint now);
   // Decides a call; answers the entry system at once or later.
   void OnCall(const EntryCall& call, TimePoint now);
+  // Gives back the token of a call that has not run.
+  void Refund(const core::base::AccountName& account, TimePoint now);
   // Takes a frame from another node.
   void OnFrame(wire::LinkId from, const wire::Bytes& payload, TimePoint now);
   // Sends what is due and decides calls held too long.
