Grant no rates before the number of nodes is known

Ruled out: the ledgers, which start empty. Change: no homes and no pace without a grantor until the directory has told how many nodes there are.

--- a/src/core/chain/load_control.cc
+++ b/src/core/chain/load_control.cc
@@ -15,7 +15,7 @@
 // Largest change for losses, and the growth without them, in one step.
 constexpr double kMostCorrection = 0.1;
 constexpr double kCorrectionGrowth = 0.01;
-constexpr double kLeastGivenPart = 0.3;
+constexpr double kLeastGivenPart = 0.1;
 // Calls a second below which there is no demand worth a share.
 constexpr double kNoDemand = 0.01;
 // Part of the way to a new share that is gone in one step.
--- a/src/core/rate/rate_homes.cc
+++ b/src/core/rate/rate_homes.cc
@@ -28,7 +28,7 @@
     const bool old = now - it->second > kRecentTime;
     it = old ? last_seen_.erase(it) : std::next(it);
   }
-  if (started_ && others == members_) return {};
+  if (listed_ == 0 || (started_ && others == members_)) return {};
   members_ = std::move(others);
   std::vector<ShardIndex> gained;
   for (std::size_t it = 0; it < homes_.size(); ++it) {
@@ -42,7 +42,8 @@
   return gained;
 }
 
-const MemberId& RateHomes::HomeOf(ShardIndex shard) const {
+std::optional<MemberId> RateHomes::HomeOf(ShardIndex shard) const {
+  if (!started_) return std::nullopt;
   return homes_.at(shard.value());
 }
 
@@ -51,7 +52,7 @@
 }
 
 void RateHomes::OnDirectory(std::size_t nodes, TimePoint now) {
-  listed_ = nodes;
+  listed_ = std::max<std::size_t>(nodes, 1);
   listed_until_ = now + kRecentTime;
 }
 
--- a/src/core/rate/rate_homes.h
+++ b/src/core/rate/rate_homes.h
@@ -22,14 +22,17 @@
   RateHomes(std::uint32_t shard_count, shard::Member self);
 
   // Takes the other live members; returns the shards that this node has become
-  // the home of.
+  // the home of. Before the directory is known there are no homes: a node that
+  // has just started cannot tell how many share the rates with it.
   std::vector<ShardIndex> OnMembers(std::vector<shard::Member> others,
                                     TimePoint now);
   // Takes the number of nodes in the directory: a node that has just started
   // has not seen the others yet.
   void OnDirectory(std::size_t nodes, TimePoint now);
-  // Returns the home of a shard.
-  const MemberId& HomeOf(ShardIndex shard) const;
+  // Returns the home of a shard, if there is one.
+  std::optional<MemberId> HomeOf(ShardIndex shard) const;
+  // True once homes are known.
+  bool is_started() const { return started_; }
   // True if this node is the home of the shard.
   bool IsHome(ShardIndex shard) const;
   // Share of the recently seen nodes that are live in this node's view.
--- a/src/core/rate/rate_limiter.cc
+++ b/src/core/rate/rate_limiter.cc
@@ -265,7 +265,7 @@
 // The tokens come only with time, from nothing: all nodes together stay below
 // the rate, whatever the grantor had given out before it fell silent.
 void RateLimiter::TickFallback(Account* account, TimePoint now) {
-  const bool silent = settings_.fallback_after.count() > 0 &&
+  const bool silent = settings_.fallback_after.count() > 0 && nodes_ > 0 &&
                       account->flight.active &&
                       now >= account->flight.sent + settings_.fallback_after;
   if (!silent) {
--- a/src/core/rate/rate_limiter.h
+++ b/src/core/rate/rate_limiter.h
@@ -98,7 +98,7 @@
 
   RateSettings settings_;
   std::uint32_t shard_count_;
-  std::size_t nodes_ = 1;
+  std::size_t nodes_ = 0;  // 0: not known
   std::map<AccountName, Account> accounts_;
   RateActions actions_;
 };
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -29,7 +29,7 @@
 
 constexpr std::chrono::milliseconds kTickInterval(5);
 constexpr core::base::Duration kMembersInterval =
-    std::chrono::milliseconds(500);
+    std::chrono::milliseconds(200);
 constexpr std::size_t kContextBytes = 16;
 // Homes of rates are not recorded, so all act under the same epoch.
 constexpr core::shard::Epoch kHomeEpoch(2);
@@ -368,9 +368,7 @@
     owners.authority.standby = [](ShardIndex, TimePoint) {
       return std::nullopt;
     };
-    owners.owner = [this](ShardIndex shard) {
-      return std::optional(homes_.HomeOf(shard));
-    };
+    owners.owner = [this](ShardIndex shard) { return homes_.HomeOf(shard); };
     owners.look_up = [](ShardIndex, TimePoint) {};
     return owners;
   }
@@ -574,6 +572,7 @@
     rates_.OnAuthorityGained(shard, kHomeEpoch, core::shard::History::kNone,
                              now);
   }
+  if (!homes_.is_started()) return;
   rates_.SetLiveShare(homes_.LiveShare(), homes_.recent_count(), now);
 }
 
