--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -18,6 +18,50 @@
 target_compile_definitions(integration_common PRIVATE
   DOGWOODRAIL_BIN_DIR="${PROJECT_BINARY_DIR}")
 
+# Sets `out` to the arguments that leave out the known red cases of a program.
+function(dogwoodrail_known_red_args target out)
+  set(args "")
+  foreach(line ${known_red})
+    if(line MATCHES "^test: ${target}:(.+)$")
+      list(APPEND args "--run_test=!${CMAKE_MATCH_1}")
+    endif()
+  endforeach()
+  set(${out} "${args}" PARENT_SCOPE)
+endfunction()
+
+# Each case of an integration program is a test of its own, so that they run
+# side by side; each uses a range of ports of its own.
+set(integration_port_step 200)
+set_property(GLOBAL PROPERTY integration_next_port 10000)
+function(dogwoodrail_integration_cases target)
+  foreach(source ${ARGN})
+    file(STRINGS ${source} lines
+         REGEX "BOOST_(AUTO_TEST_SUITE|AUTO_TEST_CASE|DATA_TEST_CASE)")
+    set(suite "")
+    foreach(line ${lines})
+      if(line MATCHES "BOOST_AUTO_TEST_SUITE\\(([a-z0-9_]+)")
+        set(suite ${CMAKE_MATCH_1})
+        continue()
+      elseif(line MATCHES "_TEST_CASE\\(([a-z0-9_]+)")
+        set(name ${CMAKE_MATCH_1})
+      else()
+        continue()  # the end of a suite
+      endif()
+      if("test: ${target}:${suite}/${name}" IN_LIST known_red)
+        continue()
+      endif()
+      get_property(port GLOBAL PROPERTY integration_next_port)
+      math(EXPR next "${port} + ${integration_port_step}")
+      set_property(GLOBAL PROPERTY integration_next_port ${next})
+      set(test ${target}.${suite}.${name})
+      add_test(NAME ${test} COMMAND ${target} --log_level=test_suite
+               --run_test=${suite}/${name})
+      set_tests_properties(${test} PROPERTIES TIMEOUT 900 LABELS integration
+        ENVIRONMENT "DOGWOODRAIL_FIRST_PORT=${port};DOGWOODRAIL_PORT_COUNT=${integration_port_step}")
+    endforeach()
+  endforeach()
+endfunction()
+
 function(dogwoodrail_test kind dir)
   get_filename_component(name ${dir} NAME)
   file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.cc)
@@ -26,25 +70,23 @@
   endif()
   set(target ${kind}_${name})
   add_executable(${target} ${sources})
-  target_link_libraries(${target} PRIVATE dogwoodrail_command dogwoodrail_node
+  target_link_libraries(${target} PRIVATE dogwoodrail_command dogwoodrail_platform
                         standin_common boost_unit_test_framework)
   target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR})
   target_compile_definitions(${target} PRIVATE BOOST_TEST_DYN_LINK
     DOGWOODRAIL_BIN_DIR="${PROJECT_BINARY_DIR}"
     DOGWOODRAIL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
-  set(args "")
-  foreach(line ${known_red})
-    if(line MATCHES "^test: ${target}:(.+)$")
-      list(APPEND args "--run_test=!${CMAKE_MATCH_1}")
-    endif()
-  endforeach()
-  add_test(NAME ${target} COMMAND ${target} --log_level=test_suite ${args})
-  set_tests_properties(${target} PROPERTIES TIMEOUT 900 LABELS ${kind})
+  if(kind STREQUAL unit)
+    dogwoodrail_known_red_args(${target} args)
+    add_test(NAME ${target} COMMAND ${target} --log_level=test_suite ${args})
+    set_tests_properties(${target} PROPERTIES TIMEOUT 900 LABELS ${kind})
+  else()
+    dogwoodrail_integration_cases(${target} ${sources})
+  endif()
   if(kind STREQUAL integration)
     target_link_libraries(${target} PRIVATE integration_common)
     add_dependencies(${target} dogwoodrail standin_objectapi standin_backend
                      standin_faultproxy)
-    set_tests_properties(${target} PROPERTIES RUN_SERIAL ON)
   endif()
 endfunction()
 
--- a/tests/integration/common/process.cc
+++ b/tests/integration/common/process.cc
@@ -26,6 +26,13 @@
 constexpr int kFirstPort = 12000;
 constexpr int kPortCount = 18000;
 
+// Returns a number from the environment, or the default. Tests that run side by
+// side are given ranges of ports that do not meet.
+int EnvironmentNumber(const char* name, int otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::atoi(text);
+}
+
 bool IsFree(std::uint16_t port, int type) {
   const int fd = ::socket(AF_INET, type, 0);
   sockaddr_in address{};
@@ -84,11 +91,17 @@
 }
 
 std::uint16_t FreePort() {
+  static const int first =
+      EnvironmentNumber("DOGWOODRAIL_FIRST_PORT", kFirstPort);
+  static const int count =
+      EnvironmentNumber("DOGWOODRAIL_PORT_COUNT", kPortCount);
+  static int next = static_cast<int>(::getpid()) * 97 % count;
+  // Ports of processes that have ended may be used again once all were taken.
   static std::set<int> taken;
-  static int next = static_cast<int>(::getpid()) * 97 % kPortCount;
+  if (taken.size() + 1 >= static_cast<std::size_t>(count)) taken.clear();
   while (true) {
-    next = (next + 1) % kPortCount;
-    const auto port = static_cast<std::uint16_t>(kFirstPort + next);
+    next = (next + 1) % count;
+    const auto port = static_cast<std::uint16_t>(first + next);
     if (!IsFree(port, SOCK_STREAM) || !IsFree(port, SOCK_DGRAM)) continue;
     if (taken.insert(port).second) return port;
   }
--- /dev/null
+++ b/tests/unit/adapter/codec_test.cc
@@ -0,0 +1,146 @@
+// Configurations, heartbeats and entries as the platform writes them, and
+// damaged ones.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <variant>
+
+#include "platform/backend_codec.h"
+#include "platform/config_codec.h"
+#include "platform/node_codec.h"
+
+namespace dogwoodrail::platform {
+namespace {
+
+namespace data = boost::unit_test::data;
+using core::base::Importance;
+
+const std::string kConfig = R"({
+  "version": "0000000c",
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
+             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+  "tenants": [{"name": "small", "api_keys": ["k1", "k2"], "priority": 1,
+               "rate_per_s": 61, "burst": 60}],
+  "listeners": [{"host": "A.example", "rules": [
+    {"name": "r1", "kind": "idempotent", "target_latency_ms": 1500,
+     "priority": 2, "public": false, "matcher": {"prefix": "/x/"},
+     "action": {"split": [{"service": "s1", "weight": 90},
+                          {"service": "s2", "weight": 10}],
+                "timeout_ms": 1000, "attempts": 2}},
+    {"name": "r2", "kind": "non_idempotent", "priority": 0, "public": true,
+     "matcher": {"prefix": "/y/"},
+     "action": {"service": "s3", "timeout_ms": 1200, "attempts": 1}}]}],
+  "clusters": [{"name": "s1", "health_path": "/healthz"}]})";
+
+core::base::Result<core::config::ConfigState> Decode(const std::string& text) {
+  ConfigDecodeOptions options;
+  options.retry_percent = 5;
+  options.hash_key = [](const std::string& key) {
+    return core::config::KeyHash("hash of " + key);
+  };
+  return DecodeConfig(*ParseBody(text), options);
+}
+
+http::Request MakePost(const std::string& target, const std::string& body) {
+  http::Request request;
+  request.method = "POST";
+  request.target = target;
+  request.body = body;
+  return request;
+}
+
+const std::string kBeatPath = "/dogwoodrail/instances/i-7/heartbeat";
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(codec)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_whole) {
+  const auto state = Decode(kConfig);
+  BOOST_REQUIRE(state.has_value());
+  BOOST_TEST(state->number().value() == 12U);
+  BOOST_TEST(state->caller_limits().max_body_bytes == 1000U);
+  const auto* route = state->MatchRoute("/x/1", "a.example");
+  BOOST_REQUIRE(route != nullptr);
+  BOOST_TEST(route->split.size() == 2U);
+  BOOST_TEST(route->idempotent);
+  BOOST_TEST((route->importance == Importance::kTracking));
+  BOOST_TEST(route->latency_objective.count() == 1500);
+  BOOST_TEST(route->retry_percent == 5U);
+  const auto* other = state->MatchRoute("/y/1", "a.example");
+  BOOST_REQUIRE(other != nullptr);
+  BOOST_TEST(!other->idempotent);
+  BOOST_TEST(other->open_to_all);
+  BOOST_TEST((other->importance == Importance::kMoney));
+  const auto* key = state->FindKey(core::config::KeyHash("hash of k2"));
+  BOOST_REQUIRE(key != nullptr);
+  BOOST_TEST(state->FindAccount(key->account)->rate_per_s == 61U);
+  BOOST_TEST(state->FindService(core::base::ServiceName("s1"))->health_path ==
+             "/healthz");
+}
+
+BOOST_DATA_TEST_CASE(
+    a_configuration_that_cannot_be_read_is_refused_whole,
+    data::make(
+        {R"({})", R"({"version": 12, "listeners": []})",
+         R"({"version": "zz", "listeners": []})", R"({"version": "1"})",
+         R"({"version": "1", "listeners": [{"host": "a"}]})",
+         R"({"version": "1", "listeners": [{"rules": [{"name": "r"}]}]})",
+         R"({"version": "1", "tenants": [{"rate_per_s": 1}],
+                    "listeners": []})"})) {
+  BOOST_TEST(!Decode(sample).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_is_read) {
+  const auto notice = ReadNotice(
+      MakePost(kBeatPath,
+               R"({"service":"lots","addr":"10.0.0.1:80","state":"draining",
+          "capacity":15,"sequence":4,"born":1700000000000,"cold_left_ms":20})"));
+  const auto* beat = std::get_if<core::backend::Heartbeat>(&notice);
+  BOOST_REQUIRE(beat != nullptr);
+  BOOST_TEST(beat->instance.value() == "i-7");
+  BOOST_TEST(beat->draining);
+  BOOST_TEST(beat->slots == 15U);
+  BOOST_TEST(beat->sequence == 4U);
+  BOOST_TEST(*beat->born_ms == 1700000000000);
+}
+
+BOOST_DATA_TEST_CASE(
+    a_heartbeat_that_cannot_be_read_names_nothing,
+    data::make({"", "[", "[]", "7",
+                R"({"service":"l","addr":"a","state":"odd","sequence":1})",
+                R"({"service":"l","addr":"a","state":"ready"})",
+                R"({"service":7,"addr":"a","state":"ready","sequence":1})",
+                R"({"service":"l","addr":"a","state":"ready","sequence":-1})",
+                R"({"service":"l","state":"ready","sequence":1})"})) {
+  const auto notice = ReadNotice(MakePost(kBeatPath, sample));
+  BOOST_TEST(std::holds_alternative<std::monostate>(notice));
+}
+
+BOOST_AUTO_TEST_CASE(a_leave_names_its_instance) {
+  const auto notice =
+      ReadNotice(MakePost("/dogwoodrail/instances/i-7/leave", ""));
+  const auto* leave = std::get_if<node::LeaveNotice>(&notice);
+  BOOST_REQUIRE(leave != nullptr);
+  BOOST_TEST(leave->instance.value() == "i-7");
+  BOOST_TEST(std::holds_alternative<std::monostate>(
+      ReadNotice(MakePost("/dogwoodrail/instances/a/b/leave", ""))));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_survives_its_encoding) {
+  core::member::DirectoryEntry entry;
+  entry.address = core::base::NodeAddress("10.0.0.1:7000");
+  entry.drained =
+      core::backend::DrainMark{core::backend::InstanceId("i-7"), 1700};
+  const auto read = DecodeNode(EncodeNode(entry));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->address.value() == "10.0.0.1:7000");
+  BOOST_TEST(read->drained->instance.value() == "i-7");
+  BOOST_TEST(*read->drained->born_ms == 1700);
+  BOOST_TEST(!DecodeNode(*ParseBody(R"({"peer": 7})")).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace dogwoodrail::platform
--- /dev/null
+++ b/tests/unit/chain/graph_test.cc
@@ -0,0 +1,69 @@
+// Which routes call which, learned from deadlines.
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+
+#include "core/chain/call_graph.h"
+
+namespace dogwoodrail::core::chain {
+namespace {
+
+using base::Importance;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::RouteName kList("list");
+const base::RouteName kRelease("release");
+const base::RouteName kLedger("ledger");
+
+base::TimePoint At(base::Duration time) { return base::TimePoint(time); }
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(call_graph)
+
+BOOST_AUTO_TEST_CASE(a_call_with_the_deadline_of_an_execution_is_its_child) {
+  CallGraph graph;
+  for (std::uint64_t n = 0; n < 10; ++n) {
+    const base::TimePoint deadline = At(seconds(1) + milliseconds(20 * n));
+    graph.OnStarted(n, kList, {Importance::kTracking, 0.5}, deadline);
+    graph.OnStarted(100 + n, kRelease, {Importance::kMoney, 1.0},
+                    deadline + milliseconds(7));
+    const auto origin = graph.OnCall(kLedger, deadline + microseconds(600));
+    BOOST_REQUIRE(origin.has_value());
+    BOOST_TEST((origin->importance == Importance::kTracking));
+    BOOST_TEST(origin->entry_share == 0.5);
+  }
+  BOOST_TEST(graph.Calls(kList, kLedger));
+  BOOST_TEST(!graph.Calls(kRelease, kLedger));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_with_a_deadline_of_its_own_follows_what_is_known) {
+  CallGraph graph;
+  graph.OnStarted(1, kList, {Importance::kTracking, 0.5}, At(seconds(9)));
+  BOOST_TEST(!graph.OnCall(kLedger, At(seconds(3))).has_value());
+  for (int it = 0; it < 5; ++it) graph.OnCall(kLedger, At(seconds(9)));
+  const auto origin = graph.OnCall(kLedger, At(seconds(3)));
+  BOOST_REQUIRE(origin.has_value());
+  BOOST_TEST((origin->importance == Importance::kTracking));
+}
+
+BOOST_AUTO_TEST_CASE(an_ended_execution_makes_no_calls) {
+  CallGraph graph;
+  graph.OnStarted(1, kList, {}, At(seconds(9)));
+  graph.OnEnded(1);
+  BOOST_TEST(!graph.OnCall(kLedger, At(seconds(9))).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(what_is_no_longer_seen_fades) {
+  CallGraph graph;
+  graph.OnStarted(1, kList, {}, At(seconds(9)));
+  for (int it = 0; it < 5; ++it) graph.OnCall(kLedger, At(seconds(9)));
+  BOOST_TEST(graph.Calls(kList, kLedger));
+  for (int it = 0; it < 60; ++it) graph.Fade();
+  BOOST_TEST(!graph.Calls(kList, kLedger));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace dogwoodrail::core::chain
--- /dev/null
+++ b/tests/unit/member/directory_test.cc
@@ -0,0 +1,98 @@
+// When a node reads, writes and lists the directory.
+#include "core/member/directory.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <optional>
+
+namespace dogwoodrail::core::member {
+namespace {
+
+using std::chrono::seconds;
+
+base::TimePoint At(base::Duration time) { return base::TimePoint(time); }
+
+const base::NodeAddress kSelf("10.0.0.1:7000");
+
+Directory MakeDirectory() { return Directory(DirectorySettings(), kSelf, 1); }
+
+backend::DrainMark MakeMark(const char* id) {
+  return {backend::InstanceId(id), 100};
+}
+
+// Takes the next call, which has to be the given one.
+void Expect(Directory& directory, DirectoryCall call, base::TimePoint now) {
+  const auto next = directory.Next(now);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((*next == call));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(directory)
+
+// Of two nodes that start together at least one must find the other.
+BOOST_AUTO_TEST_CASE(the_own_entry_is_written_before_others_are_listed) {
+  Directory directory = MakeDirectory();
+  Expect(directory, DirectoryCall::kReadOwn, At(seconds(1)));
+  directory.OnOwn(std::nullopt, At(seconds(1)));
+  Expect(directory, DirectoryCall::kWriteOwn, At(seconds(1)));
+  directory.OnWritten(At(seconds(1)));
+  Expect(directory, DirectoryCall::kList, At(seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_still_holds_is_not_written_again) {
+  Directory directory = MakeDirectory();
+  directory.Next(At(seconds(1)));
+  directory.OnOwn(DirectoryEntry{kSelf, MakeMark("i-1")}, At(seconds(1)));
+  BOOST_TEST(directory.is_written());
+  BOOST_TEST(directory.own().drained->instance.value() == "i-1");
+  Expect(directory, DirectoryCall::kList, At(seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_mark_made_before_the_read_is_the_newer_one) {
+  Directory directory = MakeDirectory();
+  directory.Next(At(seconds(1)));
+  directory.SetDrained(MakeMark("i-2"), At(seconds(1)));
+  directory.OnOwn(DirectoryEntry{kSelf, MakeMark("i-1")}, At(seconds(1)));
+  BOOST_TEST(directory.own().drained->instance.value() == "i-2");
+  Expect(directory, DirectoryCall::kWriteOwn, At(seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_mark_made_during_a_write_is_written_after_it) {
+  Directory directory = MakeDirectory();
+  directory.Next(At(seconds(1)));
+  directory.OnOwn(std::nullopt, At(seconds(1)));
+  directory.Next(At(seconds(1)));
+  directory.SetDrained(MakeMark("i-1"), At(seconds(1)));
+  directory.OnWritten(At(seconds(1)));
+  BOOST_TEST(!directory.is_written());
+  Expect(directory, DirectoryCall::kWriteOwn, At(seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(it_is_listed_again_only_while_nobody_is_known) {
+  Directory directory = MakeDirectory();
+  directory.Next(At(seconds(1)));
+  directory.OnOwn(DirectoryEntry{kSelf, std::nullopt}, At(seconds(1)));
+  directory.Next(At(seconds(1)));
+  directory.OnList(At(seconds(1)));
+  BOOST_TEST(!directory.Next(At(seconds(1))).has_value());
+  Expect(directory, DirectoryCall::kList, At(seconds(3)));
+  directory.OnList(At(seconds(3)));
+  directory.SetAlone(false);
+  BOOST_TEST(!directory.Next(At(seconds(60))).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_write_keeps_what_is_to_be_written) {
+  Directory directory = MakeDirectory();
+  directory.Next(At(seconds(1)));
+  directory.OnOwn(std::nullopt, At(seconds(1)));
+  directory.Next(At(seconds(1)));
+  directory.OnFailed(At(seconds(1)));
+  BOOST_TEST(!directory.Next(At(seconds(1))).has_value());
+  Expect(directory, DirectoryCall::kWriteOwn, At(seconds(2)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace dogwoodrail::core::member
