--- a/src/core/config/config_cmd.cc
+++ b/src/core/config/config_cmd.cc
@@ -67,7 +67,7 @@
 
 Result<void> CheckSplit(const Route& route) {
   for (const ServiceShare& it : route.split) {
-    const Result<void> checked = FirstError(
+    Result<void> checked = FirstError(
         {CheckName(Label(route), "split service", it.service.value()),
          CheckRange(Label(route), "split weight", it.weight, 1, kMaxWeight)});
     if (!checked) return checked;
--- a/src/node/event_log.cc
+++ b/src/node/event_log.cc
@@ -54,7 +54,8 @@
                    std::shared_ptr<spdlog::logger> logger)
     : capacity_(settings.timeline_events),
       clock_(std::move(clock)),
-      logger_(std::move(logger)) {
+      logger_(std::move(logger)),
+      lines_per_s_(settings.lines_per_s) {
   for (const auto it : core::base::EventCategories()) {
     const std::string name(core::base::EventCategoryText(it));
     const auto& names = settings.debug;
@@ -73,12 +74,35 @@
 
 // A category set to be logged in full is written at level info, so that its
 // events show whatever the level of the log.
-void EventLog::Write(const Event& event) const {
+void EventLog::Write(const Event& event) {
   EventLevel level = LevelOf(event);
   const bool in_full = debug_.count(GetEventCategory(event.number)) != 0;
   if (level == EventLevel::kDebug && in_full) level = EventLevel::kInfo;
   if (!logger_->should_log(ToSpdlogLevel(level))) return;
-  logger_->log(ToSpdlogLevel(level), "{}", FormatEvent(event));
+  std::size_t left_out = 0;
+  if (!TakeLine(event.number, left_out)) return;
+  std::string line = FormatEvent(event);
+  if (left_out > 0) line += " left_out=" + std::to_string(left_out);
+  logger_->log(ToSpdlogLevel(level), "{}", line);
+}
+
+bool EventLog::TakeLine(core::base::EventNumber number, std::size_t& left_out) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+                          clock_().time_since_epoch())
+                          .count();
+  LineCount& lines = lines_[static_cast<std::uint16_t>(number)];
+  if (second != lines.second) {
+    lines.second = second;
+    lines.written = 0;
+  }
+  if (lines.written >= lines_per_s_) {
+    ++lines.left_out;
+    return false;
+  }
+  ++lines.written;
+  left_out = std::exchange(lines.left_out, 0);
+  return true;
 }
 
 std::vector<LoggedEvent> EventLog::Read(const EventQuery& query) const {
@@ -117,13 +141,24 @@
   return Printable(std::move(line));
 }
 
-// Standard error may be a pipe that nobody reads; decisions must not wait for
+namespace {
+
+spdlog::sink_ptr MakeOutputSink(const std::string& output) {
+  if (output == "stdout") {
+    return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  }
+  return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+}
+
+}  // namespace
+
+// The output may be a pipe that nobody reads; decisions must not wait for
 // it.
 std::shared_ptr<spdlog::logger> MakeLogger(const LogSettings& settings) {
   if (!spdlog::thread_pool()) spdlog::init_thread_pool(kQueuedLines, 1);
   spdlog::sink_ptr sink;
   if (settings.file.empty()) {
-    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    sink = MakeOutputSink(settings.output);
   } else {
     sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(settings.file);
   }
--- a/src/node/event_log.h
+++ b/src/node/event_log.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/base/error_type.h"
@@ -60,12 +61,24 @@
   std::uint64_t last_sequence() const;
 
  private:
-  void Write(const core::base::Event& event) const;
+  // Lines of one event in the present second.
+  struct LineCount {
+    std::int64_t second = 0;
+    std::size_t written = 0;
+    std::size_t left_out = 0;
+  };
+
+  void Write(const core::base::Event& event);
+  // True if a line of the event may be written; says how many were left out
+  // before it.
+  bool TakeLine(core::base::EventNumber number, std::size_t& left_out);
 
   const std::size_t capacity_;
   const WallClock clock_;
   const std::shared_ptr<spdlog::logger> logger_;
   std::set<core::base::EventCategory> debug_;
+  const std::size_t lines_per_s_;
+  std::unordered_map<std::uint16_t, LineCount> lines_;
   mutable std::mutex mutex_;
   std::deque<LoggedEvent> events_;
   std::uint64_t last_sequence_ = 0;
--- a/src/node/settings_type.h
+++ b/src/node/settings_type.h
@@ -49,7 +49,9 @@
 // Log output, section [log].
 struct LogSettings {
   std::string level = "info";
-  std::string file;                // empty: standard error
+  std::string output = "stderr";   // or "stdout"; used if there is no file
+  std::string file;                // empty: to the output
+  std::size_t lines_per_s = 1000;  // of each event; the rest is counted
   std::vector<std::string> debug;  // categories of events logged in full
   std::size_t timeline_events = 20'000;
 };
--- a/tests/unit/adapter/codec_test.cc
+++ b/tests/unit/adapter/codec_test.cc
@@ -16,7 +16,7 @@
 namespace data = boost::unit_test::data;
 using core::base::Importance;
 
-const std::string kConfig = R"({
+const std::string config_json = R"({
   "version": "0000000c",
   "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
              "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
@@ -50,14 +50,14 @@
   return request;
 }
 
-const std::string kBeatPath = "/dogwoodrail/instances/i-7/heartbeat";
+const std::string beat_path = "/dogwoodrail/instances/i-7/heartbeat";
 
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(codec)
 
 BOOST_AUTO_TEST_CASE(a_configuration_is_read_whole) {
-  const auto state = Decode(kConfig);
+  const auto state = Decode(config_json);
   BOOST_REQUIRE(state.has_value());
   BOOST_TEST(state->number().value() == 12U);
   BOOST_TEST(state->caller_limits().max_body_bytes == 1000U);
@@ -94,7 +94,7 @@
 
 BOOST_AUTO_TEST_CASE(a_heartbeat_is_read) {
   const auto notice = ReadNotice(
-      MakePost(kBeatPath,
+      MakePost(beat_path,
                R"({"service":"lots","addr":"10.0.0.1:80","state":"draining",
           "capacity":15,"sequence":4,"born":1700000000000,"cold_left_ms":20})"));
   const auto* beat = std::get_if<core::backend::Heartbeat>(&notice);
@@ -114,7 +114,7 @@
                 R"({"service":7,"addr":"a","state":"ready","sequence":1})",
                 R"({"service":"l","addr":"a","state":"ready","sequence":-1})",
                 R"({"service":"l","state":"ready","sequence":1})"})) {
-  const auto notice = ReadNotice(MakePost(kBeatPath, sample));
+  const auto notice = ReadNotice(MakePost(beat_path, sample));
   BOOST_TEST(std::holds_alternative<std::monostate>(notice));
 }
 
--- a/tests/unit/chain/graph_test.cc
+++ b/tests/unit/chain/graph_test.cc
@@ -12,9 +12,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const base::RouteName kList("list");
-const base::RouteName kRelease("release");
-const base::RouteName kLedger("ledger");
+const base::RouteName list_route("list");
+const base::RouteName release_route("release");
+const base::RouteName ledger_route("ledger");
 
 base::TimePoint At(base::Duration time) { return base::TimePoint(time); }
 
@@ -26,42 +26,43 @@
   CallGraph graph;
   for (std::uint64_t n = 0; n < 10; ++n) {
     const base::TimePoint deadline = At(seconds(1) + milliseconds(20 * n));
-    graph.OnStarted(n, kList, {Importance::kTracking, 0.5}, deadline);
-    graph.OnStarted(100 + n, kRelease, {Importance::kMoney, 1.0},
+    graph.OnStarted(n, list_route, {Importance::kTracking, 0.5}, deadline);
+    graph.OnStarted(100 + n, release_route, {Importance::kMoney, 1.0},
                     deadline + milliseconds(7));
-    const auto origin = graph.OnCall(kLedger, deadline + microseconds(600));
+    const auto origin =
+        graph.OnCall(ledger_route, deadline + microseconds(600));
     BOOST_REQUIRE(origin.has_value());
     BOOST_TEST((origin->importance == Importance::kTracking));
     BOOST_TEST(origin->entry_share == 0.5);
   }
-  BOOST_TEST(graph.Calls(kList, kLedger));
-  BOOST_TEST(!graph.Calls(kRelease, kLedger));
+  BOOST_TEST(graph.Calls(list_route, ledger_route));
+  BOOST_TEST(!graph.Calls(release_route, ledger_route));
 }
 
 BOOST_AUTO_TEST_CASE(a_call_with_a_deadline_of_its_own_follows_what_is_known) {
   CallGraph graph;
-  graph.OnStarted(1, kList, {Importance::kTracking, 0.5}, At(seconds(9)));
-  BOOST_TEST(!graph.OnCall(kLedger, At(seconds(3))).has_value());
-  for (int it = 0; it < 5; ++it) graph.OnCall(kLedger, At(seconds(9)));
-  const auto origin = graph.OnCall(kLedger, At(seconds(3)));
+  graph.OnStarted(1, list_route, {Importance::kTracking, 0.5}, At(seconds(9)));
+  BOOST_TEST(!graph.OnCall(ledger_route, At(seconds(3))).has_value());
+  for (int it = 0; it < 5; ++it) graph.OnCall(ledger_route, At(seconds(9)));
+  const auto origin = graph.OnCall(ledger_route, At(seconds(3)));
   BOOST_REQUIRE(origin.has_value());
   BOOST_TEST((origin->importance == Importance::kTracking));
 }
 
 BOOST_AUTO_TEST_CASE(an_ended_execution_makes_no_calls) {
   CallGraph graph;
-  graph.OnStarted(1, kList, {}, At(seconds(9)));
+  graph.OnStarted(1, list_route, {}, At(seconds(9)));
   graph.OnEnded(1);
-  BOOST_TEST(!graph.OnCall(kLedger, At(seconds(9))).has_value());
+  BOOST_TEST(!graph.OnCall(ledger_route, At(seconds(9))).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(what_is_no_longer_seen_fades) {
   CallGraph graph;
-  graph.OnStarted(1, kList, {}, At(seconds(9)));
-  for (int it = 0; it < 5; ++it) graph.OnCall(kLedger, At(seconds(9)));
-  BOOST_TEST(graph.Calls(kList, kLedger));
+  graph.OnStarted(1, list_route, {}, At(seconds(9)));
+  for (int it = 0; it < 5; ++it) graph.OnCall(ledger_route, At(seconds(9)));
+  BOOST_TEST(graph.Calls(list_route, ledger_route));
   for (int it = 0; it < 60; ++it) graph.Fade();
-  BOOST_TEST(!graph.Calls(kList, kLedger));
+  BOOST_TEST(!graph.Calls(list_route, ledger_route));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/events/event_log_test.cc
+++ b/tests/unit/events/event_log_test.cc
@@ -1,6 +1,11 @@
 #include "node/event_log.h"
 
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -11,6 +16,7 @@
 using core::base::Event;
 using core::base::EventNumber;
 using core::base::RequestId;
+using core::base::WallTime;
 
 LogSettings SmallLog(std::size_t capacity) {
   LogSettings settings;
@@ -38,6 +44,28 @@
   BOOST_TEST(log.Read(newer).empty());
 }
 
+BOOST_AUTO_TEST_CASE(lines_beyond_the_bound_are_counted) {
+  std::ostringstream out;
+  auto logger = std::make_shared<spdlog::logger>(
+      "bounded", std::make_shared<spdlog::sinks::ostream_sink_st>(out));
+  logger->set_pattern("%v");
+  LogSettings settings;
+  settings.lines_per_s = 3;
+  WallTime now{std::chrono::milliseconds(1000)};
+  EventLog log(
+      settings, [&now] { return now; }, logger);
+  for (int it = 0; it < 10; ++it) {
+    log.Record({EventNumber::kNodeStarted, {}, {}, "n=" + std::to_string(it)});
+  }
+  log.Record({EventNumber::kNodeStopped, {}, {}, ""});
+  now += std::chrono::seconds(1);
+  log.Record({EventNumber::kNodeStarted, {}, {}, "n=10"});
+  BOOST_TEST(out.str() ==
+             "901 node_started n=0\n901 node_started n=1\n"
+             "901 node_started n=2\n903 node_stopped\n"
+             "901 node_started n=10 left_out=7\n");
+}
+
 BOOST_AUTO_TEST_CASE(filters) {
   EventLog log = MakeLog(10);
   const RequestId request("r1");
--- a/tests/unit/member/directory_test.cc
+++ b/tests/unit/member/directory_test.cc
@@ -12,9 +12,11 @@
 
 base::TimePoint At(base::Duration time) { return base::TimePoint(time); }
 
-const base::NodeAddress kSelf("10.0.0.1:7000");
+const base::NodeAddress self_address("10.0.0.1:7000");
 
-Directory MakeDirectory() { return Directory(DirectorySettings(), kSelf, 1); }
+Directory MakeDirectory() {
+  return Directory(DirectorySettings(), self_address, 1);
+}
 
 backend::DrainMark MakeMark(const char* id) {
   return {backend::InstanceId(id), 100};
@@ -44,7 +46,8 @@
 BOOST_AUTO_TEST_CASE(an_entry_that_still_holds_is_not_written_again) {
   Directory directory = MakeDirectory();
   directory.Next(At(seconds(1)));
-  directory.OnOwn(DirectoryEntry{kSelf, MakeMark("i-1")}, At(seconds(1)));
+  directory.OnOwn(DirectoryEntry{self_address, MakeMark("i-1")},
+                  At(seconds(1)));
   BOOST_TEST(directory.is_written());
   BOOST_TEST(directory.own().drained->instance.value() == "i-1");
   Expect(directory, DirectoryCall::kList, At(seconds(1)));
@@ -54,7 +57,8 @@
   Directory directory = MakeDirectory();
   directory.Next(At(seconds(1)));
   directory.SetDrained(MakeMark("i-2"), At(seconds(1)));
-  directory.OnOwn(DirectoryEntry{kSelf, MakeMark("i-1")}, At(seconds(1)));
+  directory.OnOwn(DirectoryEntry{self_address, MakeMark("i-1")},
+                  At(seconds(1)));
   BOOST_TEST(directory.own().drained->instance.value() == "i-2");
   Expect(directory, DirectoryCall::kWriteOwn, At(seconds(1)));
 }
@@ -73,7 +77,7 @@
 BOOST_AUTO_TEST_CASE(it_is_listed_again_only_while_nobody_is_known) {
   Directory directory = MakeDirectory();
   directory.Next(At(seconds(1)));
-  directory.OnOwn(DirectoryEntry{kSelf, std::nullopt}, At(seconds(1)));
+  directory.OnOwn(DirectoryEntry{self_address, std::nullopt}, At(seconds(1)));
   directory.Next(At(seconds(1)));
   directory.OnList(At(seconds(1)));
   BOOST_TEST(!directory.Next(At(seconds(1))).has_value());
--- a/tests/unit/wire/stream_codec_test.cc
+++ b/tests/unit/wire/stream_codec_test.cc
@@ -9,7 +9,7 @@
 
 Bytes MakeFrame(int n) {
   const std::string text =
-      "Caller-Service: wages; Accept: */*; n=" + std::to_string(n) +
+      "Content-Type: text; Accept: */*; n=" + std::to_string(n) +
       std::string(200, 'x');
   return Bytes(text.begin(), text.end());
 }
