--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -221,9 +221,16 @@
   EnterStage(*call, EntryStage::kDispatch, now);
 }
 
+// Names the configuration that a decision rests on, for the event log.
+std::string EntrySystem::ConfigDetail() const {
+  if (!config_) return " config=none";
+  return " config=" + std::to_string(config_->number().value());
+}
+
 void EntrySystem::RefuseAtOnce(const EntryCall& call, const Refusal& refusal) {
   Emit(EventNumber::kRequestRefused, call,
-       "reason=" + std::string(core::base::GetReasonSpec(refusal.reason).code));
+       "reason=" + std::string(core::base::GetReasonSpec(refusal.reason).code) +
+           " ran=not run" + ConfigDetail());
   if (ports_.on_refused) ports_.on_refused(call.importance, refusal.reason);
   RefusalReply reply;
   reply.reason = refusal.reason;
--- a/src/node/entry_attempt.cc
+++ b/src/node/entry_attempt.cc
@@ -283,8 +283,8 @@
   if (ports_.on_outcome) ports_.on_outcome(call, outcome, now);
   Emit(EventNumber::kRequestRefused, call,
        "reason=" + std::string(core::base::GetReasonSpec(outcome.reason).code) +
-           " ran=" + std::string(core::base::RanText(outcome.ran)) +
-           " route=" + call.route.name.value() + call.refusal_inputs);
+           " ran=" + std::string(core::base::RanText(outcome.ran)) + " route=" +
+           call.route.name.value() + ConfigDetail() + call.refusal_inputs);
   const http::ExchangeId exchange = call.exchange;
   if (Execution* parent = ParentOf(call)) {
     parent->downstream.End(outcome.reason == Reason::kNone, now);
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -78,6 +78,7 @@
                                            EntryCall& call);
   std::optional<Refusal> IdentifyByKey(const CallerHeaders& headers,
                                        EntryCall& call);
+  std::string ConfigDetail() const;
   void RefuseAtOnce(const EntryCall& call, const Refusal& refusal);
   void EnterStage(EntryCall& call, EntryStage stage, TimePoint now);
   void EnterChain(EntryCall& call, TimePoint now);
