End the process at once when its work is done

Cause: processes were killed at the end of the grace time, though node_stopped was logged 3.3 s after the signal: the destructor of the operator endpoint waits for the threads of its library. Ruled out: calls under way; the log shows none after node_stopped. Change: the hosted node leaves by quick_exit once the log is written.

--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -217,7 +218,10 @@
   }
   hosted.node().Run();
   spdlog::shutdown();
-  return kExitOk;
+  // All callers have been answered and the log is written. The library of the
+  // operator endpoint can take seconds to end its threads, and the grace time
+  // is over by then.
+  std::quick_exit(kExitOk);
 }
 
 }  // namespace dogwoodrail::node
