--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -30,12 +30,6 @@
 constexpr std::chrono::milliseconds kTickInterval(5);
 constexpr core::base::Duration kMembersInterval =
     std::chrono::milliseconds(200);
-constexpr std::size_t kContextBytes = 16;
-// Homes of rates are not recorded, so all act under the same epoch.
-constexpr core::shard::Epoch kHomeEpoch(2);
-// Longest waits for the backend server, as parts of the latency objective.
-constexpr int kEntryWaitDivisor = 8;
-constexpr int kInnerWaitDivisor = 2;
 // Changes of the admitted share that are worth a line.
 constexpr double kLoggedShareStep = 0.1;
 // Shorter differences between the clocks are not worth acting on.
@@ -52,13 +46,6 @@
   return std::chrono::duration_cast<core::base::Duration>(seconds + rest);
 }
 
-// Returns one number for the place of an execution in its table.
-std::uint64_t NumberOf(ExecutionIndex index) {
-  constexpr unsigned kGenerationShift = 32;
-  return (static_cast<std::uint64_t>(index.generation) << kGenerationShift) |
-         index.slot;
-}
-
 // Returns how this node introduces itself to others.
 wire::LinkPeer MakeSelf(const Settings& settings) {
   return wire::LinkPeer{NodeAddress(settings.identity.peer_address),
@@ -218,112 +205,6 @@
   members_.SetBackend(announcement, Now());
 }
 
-EntryPorts Node::MakeEntryPorts() {
-  EntryPorts ports;
-  ports.answer = [this](http::ExchangeId exchange, http::Response response) {
-    caller_server_.Answer(exchange, std::move(response));
-  };
-  ports.send = [this](const NodeAddress& to, const wire::CallMessage& message) {
-    return SendCall(to, message);
-  };
-  ports.cancel = [this](const Attempt& attempt) {
-    if (attempt.frame) {
-      (void)links_.Reply(attempt.frame->link, wire::EncodeCancel(attempt.id));
-    } else {
-      serving_.OnCancel(CallOrigin{}, attempt.id, Now());
-    }
-  };
-  ports.find_context = [this](const std::string& token) {
-    return serving_.FindContext(token);
-  };
-  ports.find_execution = [this](ExecutionIndex index) {
-    return serving_.Find(index);
-  };
-  ports.backend_works = [this] { return serving_.size() > 0; };
-  ports.make_request_id = [] { return MakeRequestId(WallNow()); };
-  ports.hash_key = HashKey;
-  ports.rate_gate = [this](const EntryCall& call, TimePoint now) {
-    rates_.OnCall(call, now);
-  };
-  if (settings_.features.shards) {
-    ports.once_gate = [this](const EntryCall& call, TimePoint now) {
-      once_.OnCall(call, now);
-    };
-  }
-  ports.on_outcome = [this](const EntryCall& call, const EntryOutcome& outcome,
-                            TimePoint now) {
-    if (settings_.features.shards) once_.OnOutcome(call, outcome, now);
-    if (call.counted && outcome.ran == core::base::Ran::kNotRun) {
-      rates_.Refund(call.account, now);
-    }
-    metrics_.OnRequestEnded(call.importance, outcome.reason,
-                            now - call.received_at);
-  };
-  ports.on_refused = [this](core::base::Importance importance, Reason reason) {
-    metrics_.OnRequestEnded(importance, reason, core::base::Duration(0));
-  };
-  ports.emit = emit_;
-  ports.dialect = dialect_;
-  if (settings_.chain.enabled) AddChainPorts(ports);
-  return ports;
-}
-
-void Node::AddChainPorts(EntryPorts& ports) {
-  ports.chain_gate = [this](const EntryCall& call, TimePoint now) {
-    core::chain::GateRequest request;
-    request.route = call.route.name;
-    request.importance = call.importance;
-    request.latency_objective = call.route.latency_objective;
-    return chain_.Decide(request, now);
-  };
-  ports.on_inner_call = [this](const EntryCall& call) {
-    if (!call.time_told) return std::optional<core::chain::ChainOrigin>();
-    return chain_.graph().OnCall(call.route.name,
-                                 call.received_at + *call.time_told);
-  };
-  ports.on_pressure = [this](const EntryCall& call,
-                             const core::chain::Pressure& pressure,
-                             TimePoint now) {
-    chain_.OnAnswer(call.route.name, call.attempt->to,
-                    chooser_.ReadyCount(call.service), pressure, now);
-  };
-}
-
-// The graph compares deadlines as the backend server was told them, in whole
-// milliseconds.
-void Node::AddChainPorts(ServingPorts& ports) {
-  ports.on_started = [this](const Execution& execution, TimePoint now) {
-    const auto told = std::chrono::duration_cast<std::chrono::milliseconds>(
-        execution.deadline - now);
-    chain_.graph().OnStarted(
-        NumberOf(execution.index), execution.message.route,
-        {execution.message.importance, execution.message.entry_share},
-        now + told);
-  };
-  ports.on_ended = [this](const Execution& execution) {
-    chain_.graph().OnEnded(NumberOf(execution.index));
-  };
-  ports.max_wait = [this](const wire::CallMessage& message) {
-    return MaxWaitOf(message);
-  };
-  ports.pressure_of = [this](const core::base::RouteName& route,
-                             TimePoint now) {
-    return chain_.PressureOf(route, now);
-  };
-}
-
-// A caller can be sent elsewhere early; a call within a chain has cost work
-// that is lost with it.
-std::optional<core::base::Duration> Node::MaxWaitOf(
-    const wire::CallMessage& message) const {
-  const auto* route = config_ ? config_->FindRoute(message.route) : nullptr;
-  if (route == nullptr || route->latency_objective.count() == 0) {
-    return std::nullopt;
-  }
-  return core::base::Duration(route->latency_objective) /
-         (message.hop > 0 ? kInnerWaitDivisor : kEntryWaitDivisor);
-}
-
 void Node::TickChain(TimePoint now) {
   const auto snapshot = admission_.Snapshot();
   core::chain::LoadSample sample;
@@ -357,102 +238,6 @@
   emit_({EventNumber::kAdmittedShareChanged, {}, {}, std::move(detail)});
 }
 
-RateOwners Node::MakeRateOwners() {
-  using core::shard::ShardIndex;
-  RateOwners owners;
-  owners.self = {self_peer_.address, self_peer_.incarnation};
-  if (!settings_.features.shards) {
-    owners.authority.epoch = [this](ShardIndex shard, TimePoint) {
-      return homes_.IsHome(shard) ? kHomeEpoch : core::shard::Epoch();
-    };
-    owners.authority.standby = [](ShardIndex, TimePoint) {
-      return std::nullopt;
-    };
-    owners.owner = [this](ShardIndex shard) { return homes_.HomeOf(shard); };
-    owners.look_up = [](ShardIndex, TimePoint) {};
-    return owners;
-  }
-  owners.authority.epoch = [this](ShardIndex shard, TimePoint now) {
-    return shards_.table().AuthorityEpoch(shard, now);
-  };
-  owners.authority.standby = [this](ShardIndex shard, TimePoint now) {
-    return shards_.table().CurrentStandby(shard, now);
-  };
-  owners.owner = [this](ShardIndex shard) {
-    return shards_.table().KnownPrimary(shard);
-  };
-  owners.look_up = [this](ShardIndex shard, TimePoint now) {
-    shards_.table().RequestOwner(shard, now);
-  };
-  return owners;
-}
-
-ServingPorts Node::MakeServingPorts() {
-  ServingPorts ports;
-  ports.reply = [this](const CallOrigin& origin, wire::AnswerMessage message) {
-    Reply(origin, std::move(message));
-  };
-  ports.execute = [this](ExecutionIndex index, const http::Request& request,
-                         core::base::Duration timeout) {
-    return backend_client_.Execute(
-        request, timeout, [this, index](http::BackendOutcome outcome) {
-          serving_.OnBackendOutcome(index, std::move(outcome), Now());
-        });
-  };
-  ports.abort = [this](http::ExecutionId execution, Reason reason) {
-    backend_client_.Cancel(execution, reason);
-  };
-  ports.make_context = [] { return RandomHex(kContextBytes); };
-  ports.on_execution_ended = [this](ExecutionIndex index, TimePoint now) {
-    entry_.CancelChildren(index, now);
-  };
-  ports.on_backend = [this](const BackendAnnouncement& backend, TimePoint now) {
-    members_.SetBackend(backend, now);
-  };
-  if (settings_.features.shards) AddPoisonPorts(ports);
-  ports.emit = emit_;
-  ports.dialect = dialect_;
-  if (settings_.chain.enabled) AddChainPorts(ports);
-  return ports;
-}
-
-void Node::AddPoisonPorts(ServingPorts& ports) {
-  ports.check_call = [this](const wire::CallMessage& message, TimePoint now) {
-    return poison_.CheckCall(message, now);
-  };
-  ports.may_start = [this](const Execution& execution, TimePoint now) {
-    return poison_.MayStart(execution, now);
-  };
-  ports.on_finished =
-      [this](const Execution& execution, const http::BackendOutcome& outcome,
-             TimePoint now) { poison_.OnFinished(execution, outcome, now); };
-}
-
-http::CallerServerHooks Node::MakeCallerHooks() {
-  http::CallerServerHooks hooks;
-  hooks.on_request = [this](http::ExchangeId exchange, http::Request request) {
-    CheckSuspension();
-    const TimePoint now = Now();
-    entry_.SetConfigFresh(is_fresh_ && is_fresh_(now));
-    entry_.OnRequest(exchange, std::move(request), now);
-  };
-  hooks.on_cancel = [this](http::ExchangeId exchange) {
-    entry_.OnCancel(exchange, Now());
-  };
-  hooks.on_malformed = [this](Reason reason, const std::string& detail) {
-    RefusalReply reply;
-    reply.reason = reason;
-    reply.request = MakeRequestId(WallNow());
-    reply.detail = detail;
-    emit_({EventNumber::kRequestRefused,
-           reply.request,
-           {},
-           "reason=" + std::string(core::base::GetReasonSpec(reason).code)});
-    return dialect_.make_refusal(reply);
-  };
-  return hooks;
-}
-
 void Node::SetLinkHandlers() {
   using wire::Bytes;
   using wire::FrameKind;
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -100,6 +100,9 @@
   bool stopping() const { return stopping_; }
 
  private:
+  // Homes of rates are not recorded, so all act under the same epoch.
+  static constexpr core::shard::Epoch kHomeEpoch{2};
+
   EntryPorts MakeEntryPorts();
   ServingPorts MakeServingPorts();
   http::CallerServerHooks MakeCallerHooks();
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -76,7 +76,7 @@
   std::array<std::uint8_t, 65536> read_buf_{};
   std::deque<Bytes> queue_;
   std::vector<Bytes> writing_;
-  std::size_t writing_bytes_ = 0;  // as queued
+  std::size_t writing_bytes_ = 0;             // as queued
   std::unique_ptr<StreamDeflater> deflater_;  // set if the link compresses
   std::unique_ptr<StreamInflater> inflater_;
   std::size_t queued_bytes_ = 0;
