Share one backoff; log failed calls to the directory

Cause: the read-through found the pause after failures written twice, in the config follower and in the directory, and failures of directory calls that were counted without a line or a reason. Ruled out: the retry policy's backoff; it is full jitter by retries, another rule. Change: core/base/backoff_func; DirectorySystem reports the cause of each failed call as platform_lost. Pauses stay as they were. Conclusion: no behaviour changed but the log.

--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -2,13 +2,9 @@
 
 #include <algorithm>
 
-namespace dogwoodrail::core::config {
-namespace {
-
-constexpr std::uint32_t kMaxDoublings = 8;
-
-}  // namespace
+#include "core/base/backoff_func.h"
 
+namespace dogwoodrail::core::config {
 ConfigFollower::ConfigFollower(const FollowSettings& settings,
                                std::uint64_t seed)
     : settings_(settings), random_(seed) {}
@@ -48,16 +44,10 @@
   revision_ = revision;
 }
 
-// Half of the pause is random, so that the nodes that an outage has brought
-// into step do not ask all at once when it ends.
 void ConfigFollower::Fail(base::TimePoint now) {
-  const std::uint32_t doublings = std::min(failures_, kMaxDoublings);
+  next_at_ = now + base::BackoffPause(failures_, settings_.retry_min,
+                                      settings_.retry_max, random_);
   ++failures_;
-  const base::Duration pause =
-      std::min(settings_.retry_min * (1U << doublings), settings_.retry_max);
-  const auto half = static_cast<std::uint64_t>(pause.count() / 2);
-  next_at_ =
-      now + pause / 2 + base::Duration(base::RandomBelow(random_, half + 1));
 }
 
 void ConfigFollower::OnSuspended(base::Duration time) { confirmed_at_ -= time; }
--- a/src/core/member/directory.cc
+++ b/src/core/member/directory.cc
@@ -3,13 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace dogwoodrail::core::member {
-namespace {
-
-constexpr std::uint32_t kMaxDoublings = 8;
-
-}  // namespace
+#include "core/base/backoff_func.h"
 
+namespace dogwoodrail::core::member {
 Directory::Directory(const DirectorySettings& settings, base::NodeAddress self,
                      std::uint64_t seed)
     : settings_(settings), random_(seed), alone_pause_(settings.alone_pause) {
@@ -61,13 +57,9 @@
 void Directory::OnFailed(base::TimePoint now) {
   call_.reset();
   dirty_again_ = false;
-  const std::uint32_t doublings = std::min(failures_, kMaxDoublings);
+  next_at_ = now + base::BackoffPause(failures_, settings_.retry_min,
+                                      settings_.retry_max, random_);
   ++failures_;
-  const base::Duration pause =
-      std::min(settings_.retry_min * (1U << doublings), settings_.retry_max);
-  const auto half = static_cast<std::uint64_t>(pause.count() / 2);
-  next_at_ =
-      now + pause / 2 + base::Duration(base::RandomBelow(random_, half + 1));
 }
 
 void Directory::SetDrained(const backend::DrainMark& mark,
--- a/src/node/directory_system.cc
+++ b/src/node/directory_system.cc
@@ -13,9 +13,10 @@
 
 DirectorySystem::DirectorySystem(
     const core::member::DirectorySettings& settings, std::uint64_t seed,
-    Node& node, const HostPorts& ports)
+    Node& node, const HostPorts& ports, core::base::EventSink emit)
     : node_(node),
       ports_(ports),
+      emit_(std::move(emit)),
       directory_(settings, NodeAddress(node.settings().identity.peer_address),
                  seed) {}
 
@@ -33,11 +34,17 @@
   }
 }
 
-void DirectorySystem::OnFailed() { directory_.OnFailed(Node::Now()); }
+void DirectorySystem::OnFailed(const core::base::Error& error) {
+  emit_({core::base::EventNumber::kPlatformLost,
+         {},
+         {},
+         "call=directory cause=" + error.detail});
+  directory_.OnFailed(Node::Now());
+}
 
 void DirectorySystem::ReadOwn() {
   ports_.read_own([this](const Result<std::optional<DirectoryEntry>>& entry) {
-    if (!entry) return OnFailed();
+    if (!entry) return OnFailed(entry.error());
     const TimePoint now = Node::Now();
     directory_.OnOwn(*entry, now);
     if (*entry && (*entry)->drained && on_drain_mark_) {
@@ -49,7 +56,7 @@
 
 void DirectorySystem::WriteOwn() {
   ports_.write_own(directory_.own(), [this](const Result<void>& written) {
-    if (!written) return OnFailed();
+    if (!written) return OnFailed(written.error());
     const TimePoint now = Node::Now();
     directory_.OnWritten(now);
     Tick(now);
@@ -58,7 +65,7 @@
 
 void DirectorySystem::List() {
   ports_.list_entries([this](const Result<std::vector<DirectoryEntry>>& list) {
-    if (!list) return OnFailed();
+    if (!list) return OnFailed(list.error());
     std::vector<NodeAddress> seeds;
     for (const DirectoryEntry& it : *list) seeds.push_back(it.address);
     const TimePoint now = Node::Now();
--- a/src/node/directory_system.h
+++ b/src/node/directory_system.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <functional>
 
+#include "core/base/error_type.h"
+#include "core/base/event_type.h"
 #include "core/member/directory.h"
 #include "node/host_type.h"
 #include "node/node_base.h"
@@ -18,7 +20,8 @@
   using DrainMark = core::backend::DrainMark;
 
   DirectorySystem(const core::member::DirectorySettings& settings,
-                  std::uint64_t seed, Node& node, const HostPorts& ports);
+                  std::uint64_t seed, Node& node, const HostPorts& ports,
+                  core::base::EventSink emit);
 
   // Sends the call that is due.
   void Tick(TimePoint now);
@@ -35,11 +38,12 @@
   void ReadOwn();
   void WriteOwn();
   void List();
-  // Counts the failure of a call.
-  void OnFailed();
+  // Counts the failure of a call and logs its cause.
+  void OnFailed(const core::base::Error& error);
 
   Node& node_;
   const HostPorts& ports_;
+  core::base::EventSink emit_;
   core::member::Directory directory_;
   std::function<void(const DrainMark&)> on_drain_mark_;
 };
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -51,7 +51,7 @@
     config_ = std::make_unique<ConfigFollowSystem>(
         settings_.host.follow, RandomSeed(), *node_, ports_, emit_);
     directory_ = std::make_unique<DirectorySystem>(
-        settings_.host.directory, RandomSeed(), *node_, ports_);
+        settings_.host.directory, RandomSeed(), *node_, ports_, emit_);
     backend_ = std::make_unique<BackendSystem>(settings_.host.watch, *node_,
                                                ports_, emit_);
     Connect();
