Ask seeds that are not members until they are met

A node that knows any other asked a seed only with one sync in eight, every 10 s, so a fleet of 12 asked one in 7 s on average; until then calls were refused with no_backend_server (208 lines in 6 s on one node). Ruled out: the directory (all addresses were listed) and the store (it answered); overload (no chain_overloaded in that time). Test: unit_member groups_of_a_restarted_fleet_meet_within_seconds fails before with all three seeds (not met within 2 s) and passes after.

--- a/src/core/member/member_table.h
+++ b/src/core/member/member_table.h
@@ -44,7 +44,7 @@
   // Replaces the seeds, and asks them soon.
   void SetSeeds(std::vector<base::NodeAddress> seeds, base::TimePoint now) {
     settings_.seeds = std::move(seeds);
-    sync_.Restart(now);
+    sync_.OnSeeds(now);
   }
   // Spreads a rumour of another module, or one that was held back; false if it
   // is spreading already or a newer one is known.
--- a/src/core/member/sync_control.cc
+++ b/src/core/member/sync_control.cc
@@ -68,6 +68,7 @@
       next_sequence_((*random)() >> 1),
       first_valid_sequence_(next_sequence_ + 1) {
   confirmed_ = IsOwn(settings, self);
+  seeds_.Reset(settings.seeds, self.address);
 }
 
 void SyncControl::Tick(const MemberStore& store, base::TimePoint now,
@@ -78,8 +79,7 @@
     next_sync_ = now;
   }
   if (now < next_sync_) return;
-  const base::Duration interval =
-      confirmed_ ? settings_.sync_interval : settings_.join_interval;
+  const base::Duration interval = Interval();
   const auto jitter = base::Duration(static_cast<base::Duration::rep>(
       base::RandomBelow(*random_, interval.count())));
   next_sync_ = now + interval / 2 + jitter;
@@ -113,6 +113,19 @@
   first_valid_sequence_ = next_sequence_ + 1;
 }
 
+void SyncControl::OnSeeds(base::TimePoint now) {
+  seeds_.Reset(settings_.seeds, self_.address);
+  Restart(now);
+}
+
+// A whole view among a few nodes is not the view of the fleet while seeds are
+// missing from it.
+base::Duration SyncControl::Interval() const {
+  if (!confirmed_) return settings_.join_interval;
+  return seeds_.empty() ? settings_.sync_interval
+                        : settings_.sync_busy_interval;
+}
+
 void SyncControl::Hasten(base::TimePoint now) {
   next_sync_ = std::min(next_sync_, now + settings_.sync_busy_interval);
 }
@@ -128,7 +141,7 @@
   }
 }
 
-// Seeds are asked until a peer is known, and now and then afterwards: two
+// Seeds are asked until each is a live member, and now and then afterwards: two
 // partitions that have forgotten each other meet there.
 std::vector<base::NodeAddress> SyncControl::PickPartners(
     const MemberStore& store) {
@@ -138,6 +151,12 @@
   if (turn >= 4) nearness = turn >= 6 ? Nearness::kRemote : Nearness::kRegion;
   const MemberIndex index = PickPeerOrNear(store, self_, nearness, random_);
   if (index.IsValid()) partners.push_back(store.Find(index)->record.address);
+  if (!partners.empty()) {
+    if (auto unmet = seeds_.NextUnmet(store, random_)) {
+      partners.push_back(std::move(*unmet));
+      return partners;
+    }
+  }
   const bool ask_seeds = partners.empty() || (turn == 0 && confirmed_);
   if (!ask_seeds || settings_.seeds.empty()) return partners;
   const std::size_t wanted = partners.empty() ? kSeedsAsked : 1;
--- a/src/core/member/sync_control.h
+++ b/src/core/member/sync_control.h
@@ -8,6 +8,7 @@
 #include "core/member/member_message_type.h"
 #include "core/member/member_settings_type.h"
 #include "core/member/member_store.h"
+#include "core/member/seed_list.h"
 
 namespace dogwoodrail::core::member {
 
@@ -30,12 +31,15 @@
   void NoteLearned(std::size_t count) { learned_ += count; }
   // Trusts the view no longer, and asks for it anew at once.
   void Restart(base::TimePoint now);
+  // Takes the seeds of the settings, which have changed.
+  void OnSeeds(base::TimePoint now);
   // Asks soon, because rumours were dropped.
   void Hasten(base::TimePoint now);
   // True once a peer has shown that this view is whole.
   bool IsConfirmed() const { return confirmed_; }
 
  private:
+  base::Duration Interval() const;
   void SendRequest(const MemberStore& store,
                    std::vector<SendMemberMessage>* out);
   std::vector<base::NodeAddress> PickPartners(const MemberStore& store);
@@ -55,6 +59,7 @@
   const MemberSelf& self_;
   base::Random* random_;
   ByteBudget budget_;
+  SeedList seeds_;
   base::TimePoint next_sync_{};
   base::TimePoint unconfirmed_since_{};
   std::uint64_t next_sequence_;
--- a/tests/unit/member/member_table_test.cc
+++ b/tests/unit/member/member_table_test.cc
@@ -67,6 +67,28 @@
   BOOST_TEST(sim.RunUntil([&] { return AllSeeReady(sim, 0); }, 4s));
 }
 
+// All nodes start at the same moment and find the addresses of all in the
+// directory; at first each can reach only the nodes of its own group, as the
+// others do not listen yet.
+BOOST_DATA_TEST_CASE(groups_of_a_restarted_fleet_meet_within_seconds, kSeeds,
+                     seed) {
+  constexpr std::size_t kNodes = 12;
+  Simulation sim(seed);
+  for (std::size_t n = 0; n < kNodes; ++n) {
+    sim.Add("r0", "r0z" + std::to_string(n % 3));
+  }
+  std::vector<base::NodeAddress> all;
+  for (std::size_t n = 0; n < kNodes; ++n) all.push_back(sim[n].address);
+  for (std::size_t n = 0; n < kNodes; ++n) {
+    sim[n].table->SetSeeds(all, sim.now());
+  }
+  sim.cut = [](std::size_t a, std::size_t b) { return a % 3 != b % 3; };
+  sim.Run(4s);
+  BOOST_TEST(!sim.AllSee(kNodes));
+  sim.cut = nullptr;
+  BOOST_TEST(sim.RunUntil([&] { return sim.AllSee(kNodes); }, 2s));
+}
+
 BOOST_DATA_TEST_CASE(a_leaving_node_is_gone_within_seconds, kSeeds, seed) {
   Fleet sim(seed);
   Announce(sim, 9, BackendPhase::kReady);
