Write the frames of a link once for each round of the loop

Cause: each frame that was queued on an idle link went out alone, with a flush of the compression and a system call of its own; a fifth of the nodes' processor time in a profile was spent there. Change: a queued frame is written after the handlers that are ready have run, together with what they queue.

--- a/src/wire/link.cc
+++ b/src/wire/link.cc
@@ -81,10 +81,21 @@
   queue_.push_back(std::move(frame));
   last_payload_ = Clock::now();
   const FrameSequence sequence(next_sequence_++);
-  if (connected_) Write();
+  if (connected_) WriteSoon();
   return sequence;
 }
 
+// What else is queued before the loop has run its ready handlers goes out with
+// it: under load a write and a flush of the compression carry many frames.
+void Links::Link::WriteSoon() {
+  if (write_due_ || write_in_progress_) return;
+  write_due_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->write_due_ = false;
+    if (!self->closed_) self->Write();
+  });
+}
+
 void Links::Link::Read() {
   socket_.async_read_some(
       asio::buffer(read_buf_),
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -69,6 +69,7 @@
   void OnRead(std::size_t n);
   // Handles the whole frames that have come; false once the link has ended.
   bool TakeFrames();
+  void WriteSoon();
   void Write();
 
   boost::asio::ip::tcp::socket socket_;
@@ -91,6 +92,7 @@
   Clock::time_point last_payload_ = Clock::now();
   bool outgoing_ = false;
   bool connected_ = false;
+  bool write_due_ = false;
   bool write_in_progress_ = false;
   bool greeted_ = false;
   bool is_near_ = false;
