--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -79,6 +79,9 @@
   endforeach()
 endfunction()
 
+# All unit tests, for builds that run only these.
+add_custom_target(unit_tests)
+
 function(dogwoodrail_test kind dir)
   get_filename_component(name ${dir} NAME)
   file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.cc)
@@ -94,6 +97,7 @@
     DOGWOODRAIL_BIN_DIR="${PROJECT_BINARY_DIR}"
     DOGWOODRAIL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   if(kind STREQUAL unit)
+    add_dependencies(unit_tests ${target})
     dogwoodrail_known_red_args(${target} args)
     add_test(NAME ${target} COMMAND ${target} --log_level=test_suite ${args})
     set_tests_properties(${target} PROPERTIES TIMEOUT 900 LABELS ${kind})
