--- a/tests/unit/chain/graph_test.cc
+++ b/tests/unit/chain/graph_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 
+#include "core/base/random_type.h"
 #include "core/chain/call_graph.h"
 
 namespace dogwoodrail::core::chain {
@@ -49,6 +50,50 @@
   BOOST_TEST((origin->importance == Importance::kTracking));
 }
 
+// Lists make calls whose deadlines are shorter than their own; lookups make
+// none, but end at about the time at which those calls do.
+BOOST_AUTO_TEST_CASE(a_route_that_only_matches_by_chance_hides_no_caller) {
+  CallGraph graph;
+  base::Random random(1);
+  const auto within = [&random](int ms) {
+    return microseconds(base::RandomBelow(random, 1000 * ms));
+  };
+  std::uint64_t n = 0;
+  for (int step = 0; step < 400; ++step) {
+    const base::TimePoint now = At(milliseconds(20) * step);
+    graph.OnStarted(n, list_route, {Importance::kMoney, 0.5},
+                    now + milliseconds(2400) + within(100));
+    graph.OnStarted(n + 1, release_route, {Importance::kTracking, 1.0},
+                    now + milliseconds(700) + within(300));
+    n += 2;
+    if (n > 100) graph.OnEnded(n - 100);
+    if (n > 100) graph.OnEnded(n - 99);
+    for (int call = 0; call < 5; ++call) {
+      graph.OnCall(ledger_route, now + milliseconds(700));
+    }
+  }
+  BOOST_TEST(graph.Calls(list_route, ledger_route));
+}
+
+// The same where the calls keep the deadline of their request.
+BOOST_AUTO_TEST_CASE(a_route_that_only_matches_by_chance_is_no_caller) {
+  CallGraph graph;
+  base::Random random(2);
+  for (std::uint64_t n = 0; n < 400; ++n) {
+    const base::TimePoint now = At(milliseconds(2) * n);
+    const base::TimePoint deadline =
+        now + milliseconds(900) +
+        microseconds(base::RandomBelow(random, 200'000));
+    graph.OnStarted(2 * n, list_route, {}, deadline);
+    graph.OnStarted(2 * n + 1, release_route, {},
+                    now + milliseconds(900) +
+                        microseconds(base::RandomBelow(random, 200'000)));
+    graph.OnCall(ledger_route, deadline + microseconds(300));
+  }
+  BOOST_TEST(graph.Calls(list_route, ledger_route));
+  BOOST_TEST(!graph.Calls(release_route, ledger_route));
+}
+
 BOOST_AUTO_TEST_CASE(an_ended_execution_makes_no_calls) {
   CallGraph graph;
   graph.OnStarted(1, list_route, {}, At(seconds(9)));
