--- a/tests/unit/chain/graph_test.cc
+++ b/tests/unit/chain/graph_test.cc
@@ -55,8 +55,8 @@
 BOOST_AUTO_TEST_CASE(a_route_that_only_matches_by_chance_hides_no_caller) {
   CallGraph graph;
   base::Random random(1);
-  const auto within = [&random](int ms) {
-    return microseconds(base::RandomBelow(random, 1000 * ms));
+  const auto within = [&random](std::uint64_t ms) {
+    return microseconds(base::RandomBelow(random, 1'000 * ms));
   };
   std::uint64_t n = 0;
   for (int step = 0; step < 400; ++step) {
