--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -8,6 +8,16 @@
   file(STRINGS ${known_red_file} known_red REGEX "^test: ")
 endif()
 
+# The sources that look for programs or pages of the checkout. Only these depend
+# on where it lies; a compiler cache serves all others to another checkout.
+set_property(SOURCE ${PROJECT_SOURCE_DIR}/tests/integration/common/process.cc
+  APPEND PROPERTY COMPILE_DEFINITIONS DOGWOODRAIL_BIN_DIR="${PROJECT_BINARY_DIR}")
+set_property(SOURCE
+  ${PROJECT_SOURCE_DIR}/tests/integration/platform/common/fleet.cc
+  ${PROJECT_SOURCE_DIR}/tests/unit/events/event_table_test.cc
+  ${PROJECT_SOURCE_DIR}/tests/unit/settings/load_test.cc
+  APPEND PROPERTY COMPILE_DEFINITIONS DOGWOODRAIL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+
 # tests/integration/common/*.cc is the process harness of the integration tests.
 file(GLOB integration_common CONFIGURE_DEPENDS
      ${PROJECT_SOURCE_DIR}/tests/integration/common/*.cc)
@@ -15,16 +25,12 @@
 target_link_libraries(integration_common PUBLIC dogwoodrail_command dogwoodrail_node
                       standin_common)
 target_include_directories(integration_common PUBLIC ${PROJECT_SOURCE_DIR})
-target_compile_definitions(integration_common PRIVATE
-  DOGWOODRAIL_BIN_DIR="${PROJECT_BINARY_DIR}")
 
 # tests/integration/platform/common/*.cc runs nodes with the platform's adapter.
 file(GLOB platform_fleet CONFIGURE_DEPENDS
      ${PROJECT_SOURCE_DIR}/tests/integration/platform/common/*.cc)
 add_library(platform_fleet STATIC ${platform_fleet})
 target_link_libraries(platform_fleet PUBLIC integration_common dogwoodrail_platform)
-target_compile_definitions(platform_fleet PRIVATE
-  DOGWOODRAIL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
 
 # Sets `out` to the arguments that exclude the known failing cases of a program.
 function(dogwoodrail_known_red_args target out)
@@ -108,9 +114,7 @@
   target_link_libraries(${target} PRIVATE dogwoodrail_command dogwoodrail_platform
                         standin_common boost_unit_test_framework)
   target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR})
-  target_compile_definitions(${target} PRIVATE BOOST_TEST_DYN_LINK
-    DOGWOODRAIL_BIN_DIR="${PROJECT_BINARY_DIR}"
-    DOGWOODRAIL_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+  target_compile_definitions(${target} PRIVATE BOOST_TEST_DYN_LINK)
   if(kind STREQUAL unit)
     add_dependencies(unit_tests ${target})
     dogwoodrail_known_red_args(${target} args)
