Count what a node sends to others by kind and by where it goes

Bytes between zones are the largest price at 95 nodes and nobody could say what they are made of. /metrics now has dogwoodrail_sent_messages_total and dogwoodrail_sent_bytes_total by kind (call, answer, membership, rate, ping, ...) and by scope (same_zone, other_zone, other_region, unknown). The bytes are those written after compression; those of a compressed batch are shared out by the sizes of its frames. Other systems may add metrics of their own.

--- a/src/node/member_system.h
+++ b/src/node/member_system.h
@@ -49,6 +49,7 @@
   // Sets the hook that is called for each valid datagram from a peer.
   void SetDatagramHook(DatagramHook hook) { on_datagram_ = std::move(hook); }
   core::member::MemberTable& table() { return table_; }
+  const core::member::MemberTable& table() const { return table_; }
 
  private:
   void Apply(const std::vector<core::member::MemberAction>& actions,
--- a/src/node/metrics.cc
+++ b/src/node/metrics.cc
@@ -44,15 +44,14 @@
   out << "# TYPE " << name << ' ' << type << '\n';
 }
 
-// Writes a metric without labels.
-void WriteValue(std::ostream& out, const char* name, const char* type,
-                const char* help, std::uint64_t value) {
+}  // namespace
+
+void WriteMetric(std::ostream& out, const char* name, const char* type,
+                 const char* help, std::uint64_t value) {
   WriteMetricHeader(out, name, type, help);
   out << name << ' ' << value << '\n';
 }
 
-}  // namespace
-
 // Writes a counter of connections by those causes that are the caller's, or
 // those that are not.
 void WriteByCause(
@@ -145,9 +144,9 @@
   WriteMetricHeader(out, name, "counter",
                     "Requests whose caller left before the final answer.");
   WriteByCause(out, name, abandoned_, true);
-  WriteValue(out, "dogwoodrail_connections_closed_unread_total", "counter",
-             "Connections of callers that ended with bytes not read.",
-             closed_unread_);
+  WriteMetric(out, "dogwoodrail_connections_closed_unread_total", "counter",
+              "Connections of callers that ended with bytes not read.",
+              closed_unread_);
   return out.str();
 }
 
@@ -166,45 +165,74 @@
 
 std::string Metrics::FormatPoisonMetrics(const PoisonSystem& poison) {
   std::ostringstream out;
-  WriteValue(out, "dogwoodrail_poison_refused_total", "counter",
-             "Sends of blocked requests that this node refused.",
-             poison.refused_count());
-  WriteValue(out, "dogwoodrail_poison_observed_total", "counter",
-             "Crash records made by this node.", poison.observed_count());
-  WriteValue(out, "dogwoodrail_poison_suspects", "gauge",
-             "Requests against which crashes count now.",
-             poison.crashes().suspect_count());
-  WriteValue(out, "dogwoodrail_poison_blocked", "gauge",
-             "Requests refused now because they crash backend servers.",
-             poison.crashes().blocked_count());
-  WriteValue(out, "dogwoodrail_poison_records", "gauge",
-             "Crash records known to this node.",
-             poison.crashes().records().size());
-  WriteValue(out, "dogwoodrail_poison_evicted_total", "counter",
-             "Crash records removed because the table was full.",
-             poison.crashes().evicted_count());
-  WriteValue(out, "dogwoodrail_poison_sent_bytes_total", "counter",
-             "Bytes sent to other nodes about crashes.",
-             poison.spread().sent_bytes());
+  WriteMetric(out, "dogwoodrail_poison_refused_total", "counter",
+              "Sends of blocked requests that this node refused.",
+              poison.refused_count());
+  WriteMetric(out, "dogwoodrail_poison_observed_total", "counter",
+              "Crash records made by this node.", poison.observed_count());
+  WriteMetric(out, "dogwoodrail_poison_suspects", "gauge",
+              "Requests against which crashes count now.",
+              poison.crashes().suspect_count());
+  WriteMetric(out, "dogwoodrail_poison_blocked", "gauge",
+              "Requests refused now because they crash backend servers.",
+              poison.crashes().blocked_count());
+  WriteMetric(out, "dogwoodrail_poison_records", "gauge",
+              "Crash records known to this node.",
+              poison.crashes().records().size());
+  WriteMetric(out, "dogwoodrail_poison_evicted_total", "counter",
+              "Crash records removed because the table was full.",
+              poison.crashes().evicted_count());
+  WriteMetric(out, "dogwoodrail_poison_sent_bytes_total", "counter",
+              "Bytes sent to other nodes about crashes.",
+              poison.spread().sent_bytes());
+  return out.str();
+}
+
+std::string Metrics::FormatTraffic(const wire::Traffic& traffic) {
+  std::ostringstream messages;
+  std::ostringstream bytes;
+  for (const auto& [kind, counts] : traffic.by_kind()) {
+    for (std::size_t it = 0; it < counts.size(); ++it) {
+      const wire::TrafficCount& count = counts.at(it);
+      if (count.messages == 0) continue;
+      const auto scope = static_cast<wire::TrafficScope>(it);
+      const std::string labels = std::string("{kind=\"") +
+                                 wire::FrameKindText(kind) + "\",to=\"" +
+                                 wire::TrafficScopeText(scope) + "\"} ";
+      messages << "dogwoodrail_sent_messages_total" << labels << count.messages
+               << '\n';
+      bytes << "dogwoodrail_sent_bytes_total" << labels << count.bytes << '\n';
+    }
+  }
+  std::ostringstream out;
+  WriteMetricHeader(out, "dogwoodrail_sent_messages_total", "counter",
+                    "Messages sent to other nodes.");
+  out << messages.str();
+  WriteMetricHeader(out, "dogwoodrail_sent_bytes_total", "counter",
+                    "Bytes sent to other nodes, compressed, without the "
+                    "headers of TCP, UDP and IP.");
+  out << bytes.str();
   return out.str();
 }
 
 std::string Metrics::Text(const Node& node) const {
   std::ostringstream out;
+  out << FormatTraffic(node.traffic());
+  for (const MetricsSource& it : sources_) it(out);
   out << FormatRequestMetrics();
   out << FormatConnectionMetrics();
   out << FormatReloadMetrics();
   out << FormatPoisonMetrics(node.poison());
   const auto admission = node.admission().Snapshot();
-  WriteValue(out, "dogwoodrail_admission_limit", "gauge",
-             "Concurrent calls admitted to the backend server.",
-             admission.limit);
-  WriteValue(out, "dogwoodrail_admission_in_flight", "gauge",
-             "Calls executed by the backend server now.", admission.in_flight);
-  WriteValue(out, "dogwoodrail_admission_queued", "gauge",
-             "Calls that wait for the backend server now.", admission.queued);
-  WriteValue(out, "dogwoodrail_executions_total", "counter",
-             "Calls handed to the backend server.", admission.started);
+  WriteMetric(out, "dogwoodrail_admission_limit", "gauge",
+              "Concurrent calls admitted to the backend server.",
+              admission.limit);
+  WriteMetric(out, "dogwoodrail_admission_in_flight", "gauge",
+              "Calls executed by the backend server now.", admission.in_flight);
+  WriteMetric(out, "dogwoodrail_admission_queued", "gauge",
+              "Calls that wait for the backend server now.", admission.queued);
+  WriteMetric(out, "dogwoodrail_executions_total", "counter",
+              "Calls handed to the backend server.", admission.started);
   WriteMetricHeader(out, "dogwoodrail_admission_refused_total", "counter",
                     "Calls refused at admission, by reason.");
   for (std::size_t it = 0; it < admission.refused_by_reason.size(); ++it) {
@@ -213,13 +241,13 @@
     out << "dogwoodrail_admission_refused_total{reason=\"" << spec.code
         << "\"} " << admission.refused_by_reason.at(it) << '\n';
   }
-  WriteValue(out, "dogwoodrail_entry_calls", "gauge",
-             "Requests of callers under way.", node.entry().size());
-  WriteValue(out, "dogwoodrail_links", "gauge", "Open links to other nodes.",
-             node.links().size());
-  WriteValue(out, "dogwoodrail_configuration_number", "gauge",
-             "Number of the configuration in force.",
-             node.config() ? node.config()->number().value() : 0);
+  WriteMetric(out, "dogwoodrail_entry_calls", "gauge",
+              "Requests of callers under way.", node.entry().size());
+  WriteMetric(out, "dogwoodrail_links", "gauge", "Open links to other nodes.",
+              node.links().size());
+  WriteMetric(out, "dogwoodrail_configuration_number", "gauge",
+              "Number of the configuration in force.",
+              node.config() ? node.config()->number().value() : 0);
   return out.str();
 }
 
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -4,19 +4,31 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <ostream>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/base/request_type.h"
 #include "core/base/time_type.h"
 #include "core/reload/reload_type.h"
 #include "http/close_table.h"
+#include "wire/traffic.h"
 
 namespace dogwoodrail::node {
 
 class Node;
 class PoisonSystem;
 
+// Writes metrics of another system in the Prometheus text format.
+using MetricsSource = std::function<void(std::ostream&)>;
+
+// Write a metric without labels, with its HELP and TYPE lines.
+void WriteMetric(std::ostream& out, const char* name, const char* type,
+                 const char* help, std::uint64_t value);
+
 // Counts and latencies of the requests that ended at this node. Used on the
 // thread of the event loop only.
 class Metrics {
@@ -38,6 +50,11 @@
     ++settings_loads_.at(static_cast<std::size_t>(count));
   }
 
+  // Adds metrics of another system to the text.
+  void AddSource(MetricsSource source) {
+    sources_.push_back(std::move(source));
+  }
+
   // Returns the metrics of callers' connections in the Prometheus text format.
   std::string FormatConnectionMetrics() const;
 
@@ -50,6 +67,7 @@
   std::string FormatRequestMetrics() const;
   std::string FormatReloadMetrics() const;
   static std::string FormatPoisonMetrics(const PoisonSystem& poison);
+  static std::string FormatTraffic(const wire::Traffic& traffic);
 
   std::array<std::unique_ptr<ImportanceMetrics>, core::base::kImportanceCount>
       by_importance_;
@@ -58,6 +76,7 @@
   CountByCause unanswered_{};
   CountByCause abandoned_{};
   std::uint64_t closed_unread_ = 0;
+  std::vector<MetricsSource> sources_;
   std::array<std::uint64_t, core::reload::kReloadCounts> settings_loads_{};
 };
 
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -127,6 +127,10 @@
       members_(MakeMemberSelf(self_peer_), MakeMemberSettings(settings_),
                RandomSeed(), datagrams_, chooser_, emit_),
       caller_server_(loop_, settings_.caller, MakeCallerHooks()) {
+  links_.SetTraffic(&traffic_);
+  datagrams_.SetTraffic(&traffic_, [this](const NodeAddress& address) {
+    return ScopeOf(address);
+  });
   SetLinkHandlers();
   if (settings_.features.shards) {
     shards_.AddListener(
@@ -137,6 +141,16 @@
   suspended_total_ = SuspendedTime();
 }
 
+wire::TrafficScope Node::ScopeOf(const NodeAddress& address) const {
+  const auto* record = members_.table().Find(address);
+  if (record == nullptr) return wire::TrafficScope::kUnknown;
+  if (record->region != self_peer_.region) {
+    return wire::TrafficScope::kOtherRegion;
+  }
+  return record->zone == self_peer_.zone ? wire::TrafficScope::kSameZone
+                                         : wire::TrafficScope::kOtherZone;
+}
+
 Node::~Node() {
   caller_server_.Close();
   datagrams_.Close();
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -66,6 +66,10 @@
   void AddTickHandler(std::function<void(TimePoint)> tick) {
     tick_handlers_.push_back(std::move(tick));
   }
+  // Adds metrics of a system that the node does not know.
+  void AddMetricsSource(MetricsSource source) {
+    metrics_.AddSource(std::move(source));
+  }
   // Sets the hook that is called with the time for which the VM was suspended.
   void SetSuspendedHook(std::function<void(core::base::Duration)> hook) {
     on_suspended_ = std::move(hook);
@@ -106,6 +110,7 @@
   }
   const EntrySystem& entry() const { return entry_; }
   const wire::Links& links() const { return links_; }
+  const wire::Traffic& traffic() const { return traffic_; }
   const Metrics& metrics() const { return metrics_; }
   Metrics& metrics() { return metrics_; }
   core::route::EndpointChooser& chooser() { return chooser_; }
@@ -131,6 +136,8 @@
       const wire::CallMessage& message) const;
   void TickChain(TimePoint now);
   void LogAdmittedShare(const core::chain::LoadSample& sample);
+  // Returns where another node is, seen from this one.
+  wire::TrafficScope ScopeOf(const core::base::NodeAddress& address) const;
   RateOwners MakeRateOwners();
   PoisonPorts MakePoisonPorts();
   void AddPoisonPorts(ServingPorts& ports);
@@ -171,6 +178,7 @@
   wire::LinkPeer self_peer_;
   boost::asio::io_context& loop_;
   boost::asio::steady_timer tick_timer_;
+  wire::Traffic traffic_;
   wire::Links links_;
   CallInbox inbox_;
   wire::DatagramSocket datagrams_;
--- a/src/wire/datagrams.cc
+++ b/src/wire/datagrams.cc
@@ -57,6 +57,10 @@
                                parsed->port);
   if (ec) return;
   socket_.send_to(asio::buffer(datagram), endpoint, 0, ec);
+  if (!ec && traffic_ != nullptr && datagram.size() > 1) {
+    const auto kind = static_cast<FrameKind>(datagram.at(1));
+    traffic_->Count(kind, scope_of_(to), datagram.size());
+  }
 }
 
 void DatagramSocket::Receive() {
--- a/src/wire/datagrams.h
+++ b/src/wire/datagrams.h
@@ -7,10 +7,12 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "core/base/error_type.h"
 #include "core/base/id_type.h"
 #include "wire/frame_type.h"
+#include "wire/traffic.h"
 
 namespace dogwoodrail::wire {
 
@@ -29,6 +31,11 @@
   void Close();
   // Sets the handler of received datagrams. Malformed datagrams are dropped.
   void SetHandler(Handler handler) { on_frame_ = std::move(handler); }
+  // Counts what is sent; the traffic is not owned, may be null.
+  void SetTraffic(Traffic* traffic, ScopeLookup scope_of) {
+    traffic_ = traffic;
+    scope_of_ = std::move(scope_of);
+  }
   // Sends a datagram. Delivery is not guaranteed, and errors are ignored.
   void Send(const core::base::NodeAddress& to, const Bytes& datagram);
 
@@ -43,6 +50,8 @@
   boost::asio::ip::udp::endpoint from_;
   std::array<std::uint8_t, kBufferBytes> buf_{};
   Handler on_frame_;
+  Traffic* traffic_ = nullptr;
+  ScopeLookup scope_of_;
 };
 
 }  // namespace dogwoodrail::wire
--- a/src/wire/link.cc
+++ b/src/wire/link.cc
@@ -180,9 +180,12 @@
     ++next_write_;
   }
   write_bytes_ = bytes;
+  const bool is_same_zone = scope_ == TrafficScope::kSameZone;
+  if (!deflater_) CountBatch(bytes);
   if (deflater_) {
-    Bytes packed = is_same_zone_ ? StreamDeflater::Store(write_batch_)
-                                 : deflater_->Compress(write_batch_);
+    Bytes packed = is_same_zone ? StreamDeflater::Store(write_batch_)
+                                : deflater_->Compress(write_batch_);
+    CountBatch(packed.size());
     write_batch_.clear();
     write_batch_.push_back(std::move(packed));
   }
@@ -204,6 +207,15 @@
       });
 }
 
+// The compressed size of a batch is shared out by the sizes of its frames.
+void Links::Link::CountBatch(std::size_t bytes_written) {
+  if (!hooks_.on_sent) return;
+  for (const Bytes& it : write_batch_) {
+    hooks_.on_sent(KindOf(it), scope_,
+                   bytes_written * it.size() / write_bytes_);
+  }
+}
+
 void Links::Link::Tick(const Bytes& ping) {
   const auto now = Clock::now();
   if (!connected_) {
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -26,6 +26,7 @@
     std::function<void(Link&, const Frame&)> on_frame;
     std::function<void(Link&, const std::string& cause)> on_protocol_error;
     std::function<void(Link&, const std::string& cause)> on_lost;
+    std::function<void(FrameKind, TrafficScope, std::uint64_t bytes)> on_sent;
   };
 
   Link(boost::asio::io_context& loop, LinkId id, LinkSettings settings,
@@ -56,9 +57,9 @@
   const LinkPeer& peer() const { return peer_; }
   // Sets the peer from its Hello. Frames to a peer in the same zone are not
   // compressed, since traffic within a zone is cheaper than CPU time.
-  void SetPeer(LinkPeer peer, bool is_same_zone) {
+  void SetPeer(LinkPeer peer, TrafficScope scope) {
     peer_ = std::move(peer);
-    is_same_zone_ = is_same_zone;
+    scope_ = scope;
   }
   // Returns true if the peer has sent its Hello.
   bool hello_received() const { return hello_received_; }
@@ -90,6 +91,8 @@
   bool HandleFrames();
   void ScheduleWrite();
   void Write();
+  // Reports the frames of the batch with their part of the bytes to be written.
+  void CountBatch(std::size_t bytes_written);
   // Ends the sending side if the link is being closed and has nothing to write.
   void FinishSending();
 
@@ -119,7 +122,7 @@
   bool write_scheduled_ = false;
   bool write_in_progress_ = false;
   bool hello_received_ = false;
-  bool is_same_zone_ = false;
+  TrafficScope scope_ = TrafficScope::kUnknown;
   bool closing_ = false;  // set by BeginClose()
   bool closed_ = false;
 };
--- a/src/wire/links.cc
+++ b/src/wire/links.cc
@@ -179,6 +179,10 @@
   hooks.on_lost = [this](Link& l, const std::string& cause) {
     OnLost(l, cause);
   };
+  hooks.on_sent = [this](FrameKind kind, TrafficScope scope,
+                         std::uint64_t bytes) {
+    if (traffic_ != nullptr) traffic_->Count(kind, scope, bytes);
+  };
   auto link = std::make_shared<Link>(loop_, id, settings_, std::move(hooks));
   links_[id] = link;
   return link;
@@ -191,6 +195,12 @@
   return link;
 }
 
+TrafficScope Links::ScopeOf(const LinkPeer& peer) const {
+  if (peer.region != self_.region) return TrafficScope::kOtherRegion;
+  return peer.zone == self_.zone ? TrafficScope::kSameZone
+                                 : TrafficScope::kOtherZone;
+}
+
 void Links::OnFrame(Link& link, const Frame& frame) {
   const auto keep_alive = link.shared_from_this();
   if (frame.kind == FrameKind::kHello) {
@@ -199,10 +209,11 @@
     if (!link.outgoing() ||
         link.peer().address.value() == hello->address()->str()) {
       const core::base::ZoneName zone(hello->zone()->str());
-      link.SetPeer(LinkPeer{NodeAddress(hello->address()->str()),
-                            core::base::Incarnation(hello->incarnation()), zone,
-                            core::base::RegionName(hello->region()->str())},
-                   zone == self_.zone);
+      LinkPeer peer{NodeAddress(hello->address()->str()),
+                    core::base::Incarnation(hello->incarnation()), zone,
+                    core::base::RegionName(hello->region()->str())};
+      const TrafficScope scope = ScopeOf(peer);
+      link.SetPeer(std::move(peer), scope);
       link.SetHelloReceived();
       return;
     }
--- a/src/wire/links.h
+++ b/src/wire/links.h
@@ -14,6 +14,7 @@
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
 #include "wire/frame_type.h"
+#include "wire/traffic.h"
 
 namespace dogwoodrail::wire {
 
@@ -106,6 +107,8 @@
   const LinkPeer* PeerOf(LinkId link) const;
   // Reports a protocol error of a link and closes it.
   void Refuse(LinkId link, const std::string& cause);
+  // Counts what is sent on links; not owned, may be null.
+  void SetTraffic(Traffic* traffic) { traffic_ = traffic; }
   // Number of open links.
   std::size_t size() const { return links_.size(); }
   // Number of established links with frames that are not written yet.
@@ -123,6 +126,7 @@
   void OnLost(Link& link, const std::string& cause);
   void ScheduleTick();
   void Tick();
+  TrafficScope ScopeOf(const LinkPeer& peer) const;
 
   boost::asio::io_context& loop_;
   LinkPeer self_;
@@ -133,6 +137,7 @@
   std::unordered_map<LinkId, std::shared_ptr<Link>> links_;
   std::unordered_map<core::base::NodeAddress, std::shared_ptr<Link>> outgoing_;
   std::unordered_map<std::uint8_t, FrameHandler> handlers_;
+  Traffic* traffic_ = nullptr;
   LossHandler on_loss_;
   RefusalHandler on_refusal_;
   bool closing_ = false;
