--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -5,17 +5,29 @@
 #include "core/base/backoff_func.h"
 
 namespace dogwoodrail::core::config {
+namespace {
+
+// The store answers such a watch at once; stores may not take a wait of zero.
+constexpr base::Duration kShortWait = std::chrono::milliseconds(1);
+// The store keeps its history for a limited time. An older revision is likely
+// gone, so a watch from it would cost a second call.
+constexpr base::Duration kMaxRevisionAge = std::chrono::seconds(10);
+
+}  // namespace
+
 ConfigFollower::ConfigFollower(const FollowSettings& settings,
                                std::uint64_t seed)
     : settings_(settings), random_(seed) {}
 
-std::optional<FollowCall> ConfigFollower::Next(base::TimePoint now) {
-  if (call_ || now < next_at_) return std::nullopt;
+std::optional<FollowCall> ConfigFollower::Next(StoreUse use,
+                                               base::TimePoint now) {
+  if (use == StoreUse::kNone || call_ || now < next_at_) return std::nullopt;
+  use_ = use;
   FollowCall call;
-  if (revision_) {
+  if (revision_ && now - revision_at_ < kMaxRevisionAge) {
     call.watch = true;
     call.after = *revision_;
-    call.wait = settings_.watch_wait;
+    call.wait = use == StoreUse::kWatch ? settings_.watch_wait : kShortWait;
   }
   call_ = call;
   sent_at_ = now;
@@ -39,16 +51,22 @@
   }
   const bool timed_out =
       result == FollowResult::kUnchanged && now - sent_at_ >= call.wait;
-  const base::TimePoint created_at =
-      timed_out ? sent_at_ + call.wait : sent_at_;
-  confirmed_at_ = confirmed_ ? std::max(confirmed_at_, created_at) : created_at;
-  confirmed_ = true;
+  Confirm(timed_out ? sent_at_ + call.wait : sent_at_);
   revision_ = revision;
+  revision_at_ = now;
+}
+
+void ConfigFollower::Confirm(base::TimePoint time) {
+  confirmed_at_ = confirmed_ ? std::max(confirmed_at_, time) : time;
+  confirmed_ = true;
 }
 
 void ConfigFollower::ScheduleRetry(base::TimePoint now) {
-  next_at_ = now + base::BackoffDelay(failures_, settings_.retry_min,
-                                      settings_.retry_max, random_);
+  const base::Duration longest = use_ == StoreUse::kWatch
+                                     ? settings_.retry_max
+                                     : settings_.confirm_retry_max;
+  next_at_ = now + base::BackoffDelay(failures_, settings_.retry_min, longest,
+                                      random_);
   ++failures_;
 }
 
--- a/src/core/config/config_follower.h
+++ b/src/core/config/config_follower.h
@@ -20,11 +20,20 @@
   // Minimum and maximum delay of the exponential backoff after failures.
   base::Duration retry_min = std::chrono::milliseconds(100);
   base::Duration retry_max = std::chrono::milliseconds(800);
+  // Maximum delay on a node that other nodes will tell of the store's return.
+  base::Duration confirm_retry_max = std::chrono::seconds(4);
   // Time for which a confirmed configuration is valid for admitting requests
   // with a key.
   base::Duration key_lease = std::chrono::seconds(4);
 };
 
+// What a node needs of the store at the moment.
+enum class StoreUse : std::uint8_t {
+  kNone,     // other nodes confirm the configuration
+  kWatch,    // continuous watches, to learn of a change at once
+  kConfirm,  // one confirmation as soon as possible
+};
+
 // A call to make to the store.
 struct FollowCall {
   bool watch = false;      // false: read the current state
@@ -51,10 +60,13 @@
 
   // Returns the call that is due now, if any. Only one call is in progress at a
   // time.
-  std::optional<FollowCall> Next(base::TimePoint now);
+  std::optional<FollowCall> Next(StoreUse use, base::TimePoint now);
   // Handles the result of the call in progress, with the revision of the store.
   void OnResult(FollowResult result, StoreRevision revision,
                 base::TimePoint now);
+  // Handles a confirmation by another node: the store confirmed the
+  // configuration at `time` or later.
+  void Confirm(base::TimePoint time);
   // Accounts for a time during which the process was suspended and its clock
   // stopped.
   void OnSuspended(base::Duration time);
@@ -63,6 +75,10 @@
   bool IsFresh(base::TimePoint now) const;
   // Returns the time since the store last confirmed the configuration.
   base::Duration Age(base::TimePoint now) const { return now - confirmed_at_; }
+  // Returns the time when the store last confirmed the configuration, if ever.
+  std::optional<base::TimePoint> confirmed_at() const {
+    return confirmed_ ? std::optional(confirmed_at_) : std::nullopt;
+  }
   // Returns the number of consecutive failures.
   std::uint32_t failures() const { return failures_; }
 
@@ -72,7 +88,9 @@
   FollowSettings settings_;
   base::Random random_;
   std::optional<StoreRevision> revision_;
+  base::TimePoint revision_at_;  // when revision_ was received
   std::optional<FollowCall> call_;
+  StoreUse use_ = StoreUse::kNone;  // of the last call
   base::TimePoint sent_at_;
   base::TimePoint next_at_;
   base::TimePoint confirmed_at_;
--- a/src/core/member/directory.cc
+++ b/src/core/member/directory.cc
@@ -17,7 +17,7 @@
 std::optional<DirectoryCall> Directory::Next(base::TimePoint now) {
   if (call_ || now < next_at_) return std::nullopt;
   if (!read_) {
-    call_ = DirectoryCall::kReadOwn;
+    call_ = exists_ ? DirectoryCall::kReadOwn : DirectoryCall::kCreateOwn;
   } else if (dirty_) {
     call_ = DirectoryCall::kWriteOwn;
   } else if (!listed_ || (alone_ && now >= list_at_)) {
@@ -26,6 +26,16 @@
   return call_;
 }
 
+void Directory::OnCreated(bool created, base::TimePoint now) {
+  call_.reset();
+  failures_ = 0;
+  next_at_ = now;
+  exists_ = !created;
+  if (!created) return;
+  read_ = true;
+  dirty_ = std::exchange(dirty_during_write_, false);
+}
+
 // A drain mark set before the entry was read is newer than the one in the
 // entry.
 void Directory::OnOwn(const std::optional<DirectoryEntry>& entry,
@@ -35,6 +45,7 @@
   next_at_ = now;
   read_ = true;
   const bool marked = own_.drained.has_value();
+  dirty_during_write_ = false;
   if (entry && !marked) own_.drained = entry->drained;
   dirty_ = marked || !entry || entry->address != own_.address;
 }
@@ -67,7 +78,9 @@
                            base::TimePoint now) {
   own_.drained = mark;
   dirty_ = true;
-  if (call_ == DirectoryCall::kWriteOwn) dirty_during_write_ = true;
+  const bool is_writing =
+      call_ == DirectoryCall::kWriteOwn || call_ == DirectoryCall::kCreateOwn;
+  if (is_writing) dirty_during_write_ = true;
   if (!call_) next_at_ = now;
 }
 
--- a/src/core/member/directory.h
+++ b/src/core/member/directory.h
@@ -32,9 +32,10 @@
 
 // Call to the shared store.
 enum class DirectoryCall : std::uint8_t {
-  kReadOwn,   // read this node's entry
-  kWriteOwn,  // create or replace this node's entry
-  kList,      // list the entries of all nodes
+  kCreateOwn,  // create this node's entry unless there is one
+  kReadOwn,    // read this node's entry
+  kWriteOwn,   // create or replace this node's entry
+  kList,       // list the entries of all nodes
 };
 
 // Schedules the calls by which a node reads and writes its directory entry and
@@ -47,8 +48,10 @@
 
   // Returns the call that is due now, if any. At most one call is in progress.
   std::optional<DirectoryCall> Next(base::TimePoint now);
-  // Returns the entry that kWriteOwn writes.
+  // Returns the entry that kCreateOwn and kWriteOwn write.
   const DirectoryEntry& own() const { return own_; }
+  // Handles the result of kCreateOwn; false if there is an entry already.
+  void OnCreated(bool created, base::TimePoint now);
   // Handles the result of kReadOwn; nullopt if there is no entry.
   void OnOwn(const std::optional<DirectoryEntry>& entry, base::TimePoint now);
   // Handles the acknowledgement of kWriteOwn.
@@ -62,7 +65,7 @@
   // Sets whether this node knows no other nodes.
   void SetAlone(bool alone) { alone_ = alone; }
 
-  // Returns true once this node's entry has been read.
+  // Returns true once this node's entry has been created or read.
   bool is_read() const { return read_; }
   // Returns true if the store has acknowledged the current entry.
   bool is_written() const { return read_ && !dirty_; }
@@ -76,6 +79,7 @@
   base::TimePoint list_at_;
   base::Duration relist_pause_;
   std::uint32_t failures_ = 0;
+  bool exists_ = false;  // an entry of an earlier process has to be read
   bool read_ = false;
   bool dirty_ = false;
   bool dirty_during_write_ = false;  // changed while a write was in progress
--- /dev/null
+++ b/src/core/spread/proof_relay.cc
@@ -0,0 +1,218 @@
+#include "core/spread/proof_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodrail::core::spread {
+
+using config::FollowResult;
+using config::StoreUse;
+
+namespace {
+
+// A longer gap between two ticks means that this process was stopped; answers
+// may wait unread.
+constexpr base::Duration kMaxTickGap = std::chrono::milliseconds(500);
+// Half of the 64 bits, so that sequences never reach the value for "none".
+constexpr std::uint64_t kMaxFirstSequence = std::uint64_t{1} << 63U;
+
+}  // namespace
+
+ProofRelay::ProofRelay(const RelaySettings& settings,
+                       const config::FollowSettings& follow, ApplyHook apply,
+                       std::uint64_t seed)
+    : settings_(settings),
+      apply_(std::move(apply)),
+      random_(seed),
+      follower_(follow, random_()),
+      validity_(follow.key_lease),
+      last_sequence_(base::RandomBelow(random_, kMaxFirstSequence)),
+      jitter_(DrawJitter()),
+      snapshot_bytes_left_(settings.snapshot_bytes_per_tick) {}
+
+RelayActions ProofRelay::Tick(const RelayView& view, base::TimePoint now) {
+  RelayActions actions;
+  if (now - last_tick_ > kMaxTickGap) {
+    for (auto& [address, source] : sources_) source.sent_at = now;
+  }
+  last_tick_ = now;
+  snapshot_bytes_left_ = settings_.snapshot_bytes_per_tick;
+  ExcludeSilentSources(now);
+  UpdateSources(view);
+  SendQueries(now, &actions);
+  SendChanges(now, &actions);
+  actions.store_call = follower_.Next(ChooseStoreUse(view, now), now);
+  return actions;
+}
+
+void ProofRelay::ExcludeSilentSources(base::TimePoint now) {
+  for (auto it = excluded_.begin(); it != excluded_.end();) {
+    it = it->second <= now ? excluded_.erase(it) : std::next(it);
+  }
+  for (auto it = sources_.begin(); it != sources_.end();) {
+    const Source& source = it->second;
+    const bool silent =
+        source.sequence != 0 && now - source.sent_at > settings_.answer_timeout;
+    if (silent) excluded_[it->first] = now + settings_.exclusion_time;
+    it = silent ? sources_.erase(it) : std::next(it);
+  }
+}
+
+void ProofRelay::UpdateSources(const RelayView& view) {
+  const auto is_wanted = [&](const base::NodeAddress& address) {
+    return std::find(view.sources.begin(), view.sources.end(), address) !=
+           view.sources.end();
+  };
+  for (auto it = sources_.begin(); it != sources_.end();) {
+    it = is_wanted(it->first) ? std::next(it) : sources_.erase(it);
+  }
+  for (const base::NodeAddress& it : view.sources) {
+    if (!IsExcluded(it)) sources_.try_emplace(it);
+  }
+}
+
+// A node without a configuration does not query: its first one has to come from
+// the store, because an earlier process of this node may have acted on a newer
+// one than another node has.
+void ProofRelay::SendQueries(base::TimePoint now, RelayActions* actions) {
+  if (in_force() == base::TicketNumber()) return;
+  for (auto& [address, source] : sources_) {
+    if (source.sequence != 0 || now < source.next_query) continue;
+    source.sequence = ++last_sequence_;
+    source.sent_at = now;
+    source.next_query = now + settings_.query_interval;
+    actions->queries.push_back({address, {source.sequence, in_force(), false}});
+  }
+}
+
+void ProofRelay::SendChanges(base::TimePoint now, RelayActions* actions) {
+  for (auto it = subscribers_.begin(); it != subscribers_.end();) {
+    Subscriber& subscriber = it->second;
+    if (subscriber.expires <= now) {
+      it = subscribers_.erase(it);
+      continue;
+    }
+    const bool announce = subscriber.announced < in_force();
+    if (announce || subscriber.known < in_force()) {
+      PeerAnswer answer = MakeAnswer(0, now);
+      AddSnapshot(&subscriber, &answer);
+      subscriber.announced = in_force();
+      if (announce || answer.has_snapshot) {
+        actions->answers.push_back({it->first, std::move(answer)});
+      }
+    }
+    ++it;
+  }
+}
+
+PeerAnswer ProofRelay::MakeAnswer(std::uint64_t sequence,
+                                  base::TimePoint now) const {
+  PeerAnswer answer;
+  answer.sequence = sequence;
+  answer.in_force = in_force();
+  const auto confirmed_at = follower_.confirmed_at();
+  if (confirmed_at && now >= *confirmed_at) {
+    answer.confirmed_age = now - *confirmed_at;
+    answer.fresh = *answer.confirmed_age < validity_;
+  }
+  return answer;
+}
+
+void ProofRelay::AddSnapshot(Subscriber* subscriber, PeerAnswer* answer) {
+  if (!(subscriber->known < in_force())) return;
+  if (snapshot_bytes_left_ == 0) return;
+  snapshot_bytes_left_ -= std::min(snapshot_bytes_left_, snapshot_.body.size());
+  answer->has_snapshot = true;
+  answer->snapshot = snapshot_;
+  subscriber->known = in_force();
+}
+
+StoreUse ProofRelay::ChooseStoreUse(const RelayView& view,
+                                    base::TimePoint now) {
+  if (in_force() == base::TicketNumber() || view.is_reader) {
+    return StoreUse::kWatch;
+  }
+  if (view.sources.empty() && sources_.empty()) return StoreUse::kWatch;
+  const auto confirmed_at = follower_.confirmed_at();
+  const bool silent = now - last_heard_ > settings_.max_silence + jitter_;
+  const bool old =
+      !confirmed_at || now - *confirmed_at > settings_.max_age + jitter_;
+  const bool lags = in_force() < highest_seen_ &&
+                    now - highest_seen_at_ > settings_.max_lag + jitter_;
+  return silent || old || lags ? StoreUse::kConfirm : StoreUse::kNone;
+}
+
+RelayActions ProofRelay::OnStoreResult(FollowResult result,
+                                       config::StoreRevision revision,
+                                       std::optional<Snapshot> snapshot,
+                                       base::TimePoint now) {
+  if (snapshot) SetInForce(*snapshot);
+  follower_.OnResult(result, revision, now);
+  if (result != FollowResult::kFailed) {
+    last_heard_ = now;
+    jitter_ = DrawJitter();
+  }
+  RelayActions actions;
+  SendChanges(now, &actions);
+  return actions;
+}
+
+RelayActions ProofRelay::OnQuery(const base::NodeAddress& peer,
+                                 const PeerQuery& query, base::TimePoint now) {
+  Subscriber& subscriber = subscribers_[peer];
+  subscriber.expires = now + settings_.subscription_time;
+  subscriber.known = query.after;
+  subscriber.announced = in_force();
+  PeerAnswer answer = MakeAnswer(query.sequence, now);
+  AddSnapshot(&subscriber, &answer);
+  RelayActions actions;
+  actions.answers.push_back({peer, std::move(answer)});
+  return actions;
+}
+
+// The store confirmed `in_force` no earlier than the age before the query was
+// sent, because the answer was created after that.
+RelayActions ProofRelay::OnAnswer(const base::NodeAddress& peer,
+                                  const PeerAnswer& answer,
+                                  base::TimePoint now) {
+  RelayActions actions;
+  const auto it = sources_.find(peer);
+  if (it == sources_.end()) return actions;
+  if (answer.has_snapshot && in_force() < answer.snapshot.number &&
+      apply_(answer.snapshot)) {
+    SetInForce(answer.snapshot);
+    SendChanges(now, &actions);
+  }
+  if (highest_seen_ < answer.in_force) {
+    highest_seen_ = answer.in_force;
+    highest_seen_at_ = now;
+  }
+  Source& source = it->second;
+  if (answer.sequence == 0 || answer.sequence != source.sequence) {
+    return actions;
+  }
+  source.sequence = 0;
+  last_heard_ = now;
+  if (answer.confirmed_age && answer.in_force == in_force()) {
+    follower_.Confirm(source.sent_at - *answer.confirmed_age);
+  }
+  return actions;
+}
+
+void ProofRelay::SetInForce(const Snapshot& snapshot) {
+  if (!(in_force() < snapshot.number)) return;
+  snapshot_ = snapshot;
+}
+
+void ProofRelay::OnSuspended(base::Duration time) {
+  follower_.OnSuspended(time);
+  for (auto& [address, source] : sources_) source.sent_at -= time;
+}
+
+base::Duration ProofRelay::DrawJitter() {
+  const double bound = static_cast<double>(settings_.jitter.count());
+  return base::Duration(
+      static_cast<base::Duration::rep>(bound * base::RandomUnit(random_)));
+}
+
+}  // namespace dogwoodrail::core::spread
--- /dev/null
+++ b/src/core/spread/proof_relay.h
@@ -0,0 +1,121 @@
+#ifndef DOGWOODRAIL_CORE_SPREAD_PROOF_RELAY_H_
+#define DOGWOODRAIL_CORE_SPREAD_PROOF_RELAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "core/base/random_type.h"
+#include "core/config/config_follower.h"
+#include "core/spread/spread_type.h"
+
+namespace dogwoodrail::core::spread {
+
+// What the node has to do after a call of ProofRelay.
+struct RelayActions {
+  std::optional<config::FollowCall> store_call;
+  std::vector<SendQuery> queries;
+  std::vector<SendAnswer> answers;
+};
+
+// Keeps the configuration of a node current and proves that it is, without a
+// watch of the store by every node: a reader in each zone watches the store,
+// the others query it and a second relay. An answer holds the age of the
+// store's confirmation, measured on the answering node; the receiver counts it
+// from the time of its own query, so that a confirmation is never taken for
+// younger than it is. A node that no answer reaches in time asks the store
+// itself.
+//
+// Load pattern: calls to the store grow with the number of zones instead of
+// nodes.
+class ProofRelay {
+ public:
+  // Applies a configuration received from another node. Returns false if it
+  // cannot be used.
+  using ApplyHook = std::function<bool(const Snapshot&)>;
+
+  ProofRelay(const RelaySettings& settings,
+             const config::FollowSettings& follow, ApplyHook apply,
+             std::uint64_t seed);
+
+  // Runs the timers. Called about every 100 ms or more often.
+  RelayActions Tick(const RelayView& view, base::TimePoint now);
+
+  // Handles the result of the store call, with the revision of the store and
+  // the configuration if the result has one that is in force now.
+  RelayActions OnStoreResult(config::FollowResult result,
+                             config::StoreRevision revision,
+                             std::optional<Snapshot> snapshot,
+                             base::TimePoint now);
+  // Answers a query of another node.
+  RelayActions OnQuery(const base::NodeAddress& peer, const PeerQuery& query,
+                       base::TimePoint now);
+  // Handles an answer, or a change that another node announces unasked.
+  RelayActions OnAnswer(const base::NodeAddress& peer, const PeerAnswer& answer,
+                        base::TimePoint now);
+  // Accounts for a time during which the process was suspended and its clock
+  // stopped.
+  void OnSuspended(base::Duration time);
+
+  // Returns true if requests with a key may be admitted.
+  bool IsFresh(base::TimePoint now) const { return follower_.IsFresh(now); }
+  // Returns the time since the store last confirmed the configuration.
+  base::Duration Age(base::TimePoint now) const { return follower_.Age(now); }
+  // Returns true if the node is not to be relied on as a source for now.
+  bool IsExcluded(const base::NodeAddress& peer) const {
+    return excluded_.count(peer) != 0;
+  }
+  // Number of the configuration in force; 0 if there is none yet.
+  base::TicketNumber in_force() const { return snapshot_.number; }
+
+ private:
+  // A node that this one queries.
+  struct Source {
+    std::uint64_t sequence = 0;  // of the open query; 0: none
+    base::TimePoint sent_at;
+    base::TimePoint next_query;
+  };
+  // A node that queries this one.
+  struct Subscriber {
+    base::TimePoint expires;
+    base::TicketNumber known;      // configuration that it has
+    base::TicketNumber announced;  // highest number that it was told
+  };
+
+  void UpdateSources(const RelayView& view);
+  void ExcludeSilentSources(base::TimePoint now);
+  void SendQueries(base::TimePoint now, RelayActions* actions);
+  void SendChanges(base::TimePoint now, RelayActions* actions);
+  void SetInForce(const Snapshot& snapshot);
+  PeerAnswer MakeAnswer(std::uint64_t sequence, base::TimePoint now) const;
+  // Adds the configuration if the subscriber lacks it and the limit of this
+  // tick allows it.
+  void AddSnapshot(Subscriber* subscriber, PeerAnswer* answer);
+  config::StoreUse ChooseStoreUse(const RelayView& view, base::TimePoint now);
+  base::Duration DrawJitter();
+
+  const RelaySettings settings_;
+  const ApplyHook apply_;
+  base::Random random_;
+  config::ConfigFollower follower_;
+  base::Duration validity_;  // of a confirmation
+  Snapshot snapshot_;
+
+  std::map<base::NodeAddress, Source> sources_;
+  std::unordered_map<base::NodeAddress, base::TimePoint> excluded_;  // until
+  std::unordered_map<base::NodeAddress, Subscriber> subscribers_;
+  std::uint64_t last_sequence_;
+  base::TimePoint last_tick_;
+  base::TimePoint last_heard_;  // answer of a source or the store
+  base::TicketNumber highest_seen_;
+  base::TimePoint highest_seen_at_;
+  base::Duration jitter_;
+  std::size_t snapshot_bytes_left_;
+};
+
+}  // namespace dogwoodrail::core::spread
+
+#endif  // DOGWOODRAIL_CORE_SPREAD_PROOF_RELAY_H_
--- a/src/core/spread/reader_choice.h
+++ b/src/core/spread/reader_choice.h
@@ -2,6 +2,7 @@
 #define DOGWOODRAIL_CORE_SPREAD_READER_CHOICE_H_
 
 #include <cstddef>
+#include <functional>
 
 #include "core/base/random_type.h"
 #include "core/member/member_table.h"
@@ -20,6 +21,16 @@
 PeerView MakePeerView(const member::MemberTable& table,
                       const SpreadSettings& settings, base::Random* random);
 
+// Returns true for nodes that are not to be relied on at the moment.
+using ExclusionCheck = std::function<bool(const base::NodeAddress&)>;
+
+// Builds the view for ProofRelay: the place of this node in the relay of its
+// zone. All nodes with the same membership choose the same readers.
+RelayView MakeRelayView(const member::MemberStore& store,
+                        const member::MemberSelf& self,
+                        const RelaySettings& settings,
+                        const ExclusionCheck& is_excluded);
+
 }  // namespace dogwoodrail::core::spread
 
 #endif  // DOGWOODRAIL_CORE_SPREAD_READER_CHOICE_H_
--- a/src/core/spread/spread_type.h
+++ b/src/core/spread/spread_type.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -38,6 +39,9 @@
   std::uint64_t sequence = 0;
   base::TicketNumber in_force;
   bool fresh = false;  // the number of the peer is confirmed and recent
+  // Time since the platform confirmed `in_force`, at the moment of the answer.
+  // Set by ProofRelay only.
+  std::optional<base::Duration> confirmed_age;
   std::vector<Ticket> tickets;
   bool has_snapshot = false;
   Snapshot snapshot;
@@ -96,6 +100,41 @@
   bool is_reader = false;  // this node reads the platform for its region
 };
 
+// Place of a node in the relay of configuration confirmations.
+struct RelayView {
+  bool is_reader = false;  // this node reads the platform for its zone
+  std::vector<base::NodeAddress> sources;  // nodes to query
+};
+
+// Settings of the relay of configuration confirmations.
+struct RelaySettings {
+  // False: every node watches the platform itself.
+  bool enabled = true;
+  // Interval of the queries to each source.
+  base::Duration query_interval = std::chrono::milliseconds(500);
+  // A source that has not answered a query for this long is replaced.
+  base::Duration answer_timeout = std::chrono::milliseconds(900);
+  // Time for which a replaced source is not chosen again.
+  base::Duration exclusion_time = std::chrono::seconds(5);
+  // A node asks the platform itself if no source has answered for this long.
+  base::Duration max_silence = std::chrono::milliseconds(1300);
+  // It also does if the last confirmation is older than this. Less than the
+  // time for which a confirmation is valid, so that a confirmation from the
+  // platform arrives before.
+  base::Duration max_age = std::chrono::milliseconds(2600);
+  // It also does if a higher number was announced and its configuration has not
+  // arrived for this long.
+  base::Duration max_lag = std::chrono::milliseconds(500);
+  // Random delay of each of these, so that nodes do not ask all at once.
+  base::Duration jitter = std::chrono::milliseconds(300);
+  // A node that queried within this time is told of changes.
+  base::Duration subscription_time = std::chrono::seconds(3);
+  // Nodes of a zone that one node answers.
+  std::size_t fanout = 100;
+  // Limit on the configurations sent in one tick.
+  std::size_t snapshot_bytes_per_tick = std::size_t{1024} * 1024;
+};
+
 // Settings of configuration distribution.
 struct SpreadSettings {
   std::size_t readers_per_region = 2;
--- a/src/node/config_follow_system.cc
+++ b/src/node/config_follow_system.cc
@@ -1,39 +1,113 @@
 #include "node/config_follow_system.h"
 
-#include <string>
+#include <algorithm>
+#include <memory>
 #include <utility>
+#include <variant>
+
+#include "core/spread/reader_choice.h"
+#include "wire/spread_codec.h"
 
 namespace dogwoodrail::node {
 
+namespace spread = core::spread;
 using core::base::EventNumber;
+using core::base::NodeAddress;
 using core::config::FollowResult;
 
-ConfigFollowSystem::ConfigFollowSystem(
-    const core::config::FollowSettings& settings, std::uint64_t seed,
-    Node& node, const HostPorts& ports, core::base::EventSink emit)
+namespace {
+
+using Millis = std::chrono::milliseconds::rep;
+
+constexpr std::chrono::milliseconds kRunInterval(20);
+constexpr std::chrono::milliseconds kViewInterval(500);
+
+}  // namespace
+
+ConfigFollowSystem::ConfigFollowSystem(const HostSettings& settings,
+                                       std::uint64_t seed, Node& node,
+                                       const HostPorts& ports,
+                                       core::base::EventSink emit)
     : node_(node),
       ports_(ports),
       emit_(std::move(emit)),
-      follower_(settings, seed) {}
+      settings_(settings.relay),
+      relay_(
+          settings.relay, settings.follow,
+          [this](const spread::Snapshot& it) { return ApplySnapshot(it); },
+          seed) {
+  node_.links().SetHandler(
+      wire::FrameKind::kSpread,
+      [this](wire::LinkId from, const wire::Bytes& payload) {
+        OnFrame(from, payload);
+      });
+  node_.AddMetricsSource([this](std::ostream& out) { WriteMetrics(out); });
+}
 
 void ConfigFollowSystem::Tick(TimePoint now) {
+  if (now < next_run_) return;
+  next_run_ = now + kRunInterval;
+  Run(now);
+}
+
+void ConfigFollowSystem::Run(TimePoint now) {
   UpdateFreshness(now);
-  const auto call = follower_.Next(now);
-  if (!call) return;
-  ports_.follow_config(*call, [this](const ConfigAnswer& answer) {
+  UpdateView(now);
+  Execute(relay_.Tick(view_, now));
+}
+
+void ConfigFollowSystem::UpdateView(TimePoint now) {
+  if (now < next_view_update_) return;
+  next_view_update_ = now + kViewInterval;
+  const core::member::MemberTable& members = node_.members().table();
+  view_ = spread::MakeRelayView(
+      members.store(), members.self(), settings_,
+      [this](const NodeAddress& it) { return relay_.IsExcluded(it); });
+}
+
+void ConfigFollowSystem::Execute(spread::RelayActions actions) {
+  for (const spread::SendQuery& it : actions.queries) {
+    (void)node_.links().Send(it.to, wire::EncodeSpread(it.query));
+  }
+  for (const spread::SendAnswer& it : actions.answers) {
+    const auto link = query_links_.find(it.to);
+    if (link == query_links_.end()) continue;
+    const auto sent =
+        node_.links().Reply(link->second, wire::EncodeSpread(it.answer));
+    if (!sent) query_links_.erase(link);
+  }
+  if (!actions.store_call) return;
+  ++store_calls_;
+  ports_.follow_config(*actions.store_call, [this](const ConfigAnswer& answer) {
     OnAnswer(answer, Node::Now());
   });
 }
 
+void ConfigFollowSystem::OnFrame(wire::LinkId from,
+                                 const wire::Bytes& payload) {
+  const auto message = wire::DecodeSpread(payload);
+  if (!message) return node_.links().Refuse(from, message.error().detail);
+  const wire::LinkPeer* peer = node_.links().PeerOf(from);
+  if (peer == nullptr) return;
+  const NodeAddress address = peer->address;
+  const TimePoint now = Node::Now();
+  if (const auto* query = std::get_if<spread::PeerQuery>(&*message)) {
+    query_links_[address] = from;
+    return Execute(relay_.OnQuery(address, *query, now));
+  }
+  Execute(
+      relay_.OnAnswer(address, std::get<spread::PeerAnswer>(*message), now));
+}
+
 // Logs when the configuration becomes stale, because requests with a key are
 // refused from then on.
 void ConfigFollowSystem::UpdateFreshness(TimePoint now) {
-  const bool fresh = follower_.IsFresh(now);
+  const bool fresh = relay_.IsFresh(now);
   if (fresh == fresh_ || !node_.config()) return;
   fresh_ = fresh;
   if (fresh) return;
   const auto age =
-      std::chrono::duration_cast<std::chrono::milliseconds>(follower_.Age(now));
+      std::chrono::duration_cast<std::chrono::milliseconds>(relay_.Age(now));
   emit_({EventNumber::kConfigurationStale,
          {},
          {},
@@ -41,29 +115,50 @@
 }
 
 void ConfigFollowSystem::OnAnswer(const ConfigAnswer& answer, TimePoint now) {
-  UpdateStoreReachable(answer.result != FollowResult::kFailed, answer.detail);
-  Apply(answer);
-  follower_.OnResult(answer.result, answer.revision, now);
-  Tick(now);
+  const bool failed = answer.result == FollowResult::kFailed;
+  if (failed) ++store_failures_;
+  UpdateStoreReachable(!failed, answer.detail);
+  std::optional<spread::Snapshot> snapshot;
+  if (answer.config) {
+    Activate(answer.config);
+    snapshot = spread::Snapshot{answer.config->number(), answer.body};
+  } else {
+    ReportUnusable(answer);
+  }
+  Execute(relay_.OnStoreResult(answer.result, answer.revision,
+                               std::move(snapshot), now));
+  Run(now);
+}
+
+bool ConfigFollowSystem::ApplySnapshot(const spread::Snapshot& snapshot) {
+  auto config = ports_.decode_config(snapshot.body);
+  if (!config) {
+    emit_({EventNumber::kConfigurationRefused,
+           {},
+           {},
+           "cause=" + config.error().detail});
+    return false;
+  }
+  if (config->number() != snapshot.number) return false;
+  Activate(
+      std::make_shared<const core::config::ConfigState>(std::move(*config)));
+  return true;
 }
 
 // Ignores a configuration older than the active one: a running node never
 // reverts to an earlier configuration.
-void ConfigFollowSystem::Apply(const ConfigAnswer& answer) {
-  if (!answer.config) {
-    const bool unreadable =
-        answer.result != FollowResult::kFailed && !answer.detail.empty();
-    if (unreadable) {
-      emit_({EventNumber::kConfigurationRefused,
-             {},
-             {},
-             "cause=" + answer.detail});
-    }
-    return;
-  }
+void ConfigFollowSystem::Activate(
+    const std::shared_ptr<const core::config::ConfigState>& config) {
   const auto& current = node_.config();
-  const bool newer = !current || current->number() < answer.config->number();
-  if (newer) node_.SetConfig(answer.config);
+  const bool newer = !current || current->number() < config->number();
+  if (newer) node_.SetConfig(config);
+}
+
+void ConfigFollowSystem::ReportUnusable(const ConfigAnswer& answer) {
+  const bool unreadable =
+      answer.result != FollowResult::kFailed && !answer.detail.empty();
+  if (!unreadable) return;
+  emit_({EventNumber::kConfigurationRefused, {}, {}, "cause=" + answer.detail});
 }
 
 void ConfigFollowSystem::UpdateStoreReachable(bool reached,
@@ -76,4 +171,23 @@
          reached ? "" : "cause=" + detail});
 }
 
+void ConfigFollowSystem::WriteMetrics(std::ostream& out) const {
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      relay_.Age(Node::Now()));
+  WriteMetric(out, "dogwoodrail_configuration_age_ms", "gauge",
+              "Time since the store last confirmed the configuration.",
+              static_cast<std::uint64_t>(std::max(age.count(), Millis{0})));
+  WriteMetric(out, "dogwoodrail_configuration_reader", "gauge",
+              "1 if this node reads the configuration for its zone.",
+              view_.is_reader ? 1 : 0);
+  WriteMetric(out, "dogwoodrail_configuration_sources", "gauge",
+              "Nodes that this node asks to confirm the configuration.",
+              view_.sources.size());
+  WriteMetric(out, "dogwoodrail_configuration_store_calls_total", "counter",
+              "Reads and watches of the configuration in the store.",
+              store_calls_);
+  WriteMetric(out, "dogwoodrail_configuration_store_failures_total", "counter",
+              "Of these, those that failed.", store_failures_);
+}
+
 }  // namespace dogwoodrail::node
--- a/src/node/config_follow_system.h
+++ b/src/node/config_follow_system.h
@@ -2,43 +2,69 @@
 #define DOGWOODRAIL_NODE_CONFIG_FOLLOW_SYSTEM_H_
 
 #include <cstdint>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <unordered_map>
 
 #include "core/base/event_type.h"
-#include "core/config/config_follower.h"
+#include "core/spread/proof_relay.h"
 #include "node/host_type.h"
 #include "node/node_base.h"
 
 namespace dogwoodrail::node {
 
-// Makes the store calls that the configuration follower requests and activates
-// newer configurations.
+// Keeps the configuration of a hosted node current: makes the store calls and
+// exchanges the messages that ProofRelay asks for, and activates newer
+// configurations.
 class ConfigFollowSystem {
  public:
   using TimePoint = core::base::TimePoint;
 
-  ConfigFollowSystem(const core::config::FollowSettings& settings,
-                     std::uint64_t seed, Node& node, const HostPorts& ports,
+  ConfigFollowSystem(const HostSettings& settings, std::uint64_t seed,
+                     Node& node, const HostPorts& ports,
                      core::base::EventSink emit);
+  ConfigFollowSystem(const ConfigFollowSystem&) = delete;
+  ConfigFollowSystem& operator=(const ConfigFollowSystem&) = delete;
 
-  // Starts the next store call if one is due.
+  // Runs the timers of the relay.
   void Tick(TimePoint now);
   // Accounts for a time for which the VM was suspended.
-  void OnSuspended(core::base::Duration time) { follower_.OnSuspended(time); }
+  void OnSuspended(core::base::Duration time) { relay_.OnSuspended(time); }
   // Returns whether the configuration is fresh enough to admit requests with a
   // key.
-  bool IsFresh(TimePoint now) const { return follower_.IsFresh(now); }
+  bool IsFresh(TimePoint now) const { return relay_.IsFresh(now); }
 
  private:
+  // Runs the relay and carries out its actions.
+  void Run(TimePoint now);
+  void Execute(core::spread::RelayActions actions);
+  void OnFrame(wire::LinkId from, const wire::Bytes& payload);
   void OnAnswer(const ConfigAnswer& answer, TimePoint now);
-  void Apply(const ConfigAnswer& answer);
+  // Activates a configuration received from another node.
+  bool ApplySnapshot(const core::spread::Snapshot& snapshot);
+  // Activates a configuration unless a newer one is active.
+  void Activate(const std::shared_ptr<const core::config::ConfigState>& config);
+  // Logs a configuration in the answer that cannot be used.
+  void ReportUnusable(const ConfigAnswer& answer);
   // Logs when the store becomes reachable or unreachable.
   void UpdateStoreReachable(bool reached, const std::string& detail);
   void UpdateFreshness(TimePoint now);
+  void UpdateView(TimePoint now);
+  void WriteMetrics(std::ostream& out) const;
 
   Node& node_;
   const HostPorts& ports_;
   core::base::EventSink emit_;
-  core::config::ConfigFollower follower_;
+  core::spread::RelaySettings settings_;
+  core::spread::ProofRelay relay_;
+  core::spread::RelayView view_;
+  TimePoint next_run_;
+  TimePoint next_view_update_;
+  // Links on which other nodes sent their last query.
+  std::unordered_map<core::base::NodeAddress, wire::LinkId> query_links_;
+  std::uint64_t store_calls_ = 0;
+  std::uint64_t store_failures_ = 0;
   bool store_reached_ = true;
   bool fresh_ = true;
 };
--- a/src/node/directory_system.cc
+++ b/src/node/directory_system.cc
@@ -25,6 +25,8 @@
   const auto call = directory_.Next(now);
   if (!call) return;
   switch (*call) {
+    case DirectoryCall::kCreateOwn:
+      return CreateOwn();
     case DirectoryCall::kReadOwn:
       return ReadOwn();
     case DirectoryCall::kWriteOwn:
@@ -42,6 +44,16 @@
   directory_.OnFailed(Node::Now());
 }
 
+void DirectorySystem::CreateOwn() {
+  ports_.create_own_entry(directory_.own(),
+                          [this](const Result<bool>& created) {
+                            if (!created) return OnFailed(created.error());
+                            const TimePoint now = Node::Now();
+                            directory_.OnCreated(*created, now);
+                            Tick(now);
+                          });
+}
+
 void DirectorySystem::ReadOwn() {
   ports_.read_own_entry(
       [this](const Result<std::optional<DirectoryEntry>>& entry) {
--- a/src/node/directory_system.h
+++ b/src/node/directory_system.h
@@ -35,6 +35,7 @@
   }
 
  private:
+  void CreateOwn();
   void ReadOwn();
   void WriteOwn();
   void List();
--- a/src/node/host_type.h
+++ b/src/node/host_type.h
@@ -24,6 +24,7 @@
   core::config::StoreRevision revision;
   // The configuration, if the result contains one that could be decoded.
   std::shared_ptr<const core::config::ConfigState> config;
+  std::string body;    // of the configuration, for HostPorts::decode_config
   std::string detail;  // cause of a failure or refusal
 };
 
@@ -54,7 +55,14 @@
   std::function<void(const core::config::FollowCall&,
                      std::function<void(ConfigAnswer)>)>
       follow_config;
-  // Read and write the directory of nodes in the store.
+  // Decodes the body of a configuration that another node received.
+  std::function<core::base::Result<core::config::ConfigState>(
+      const std::string& body)>
+      decode_config;
+  // Creates this node's entry in the directory of nodes in the store; false if
+  // there is one.
+  std::function<void(const Entry&, Callback<bool>)> create_own_entry;
+  // Read and write the directory.
   std::function<void(Callback<std::optional<Entry>>)> read_own_entry;
   std::function<void(const Entry&, Callback<void>)> write_own_entry;
   std::function<void(Callback<std::vector<Entry>>)> list_entries;
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -48,8 +48,8 @@
     if (!ports) return tl::make_unexpected(ports.error());
     ports_ = std::move(*ports);
     node_ = std::make_unique<Node>(loop_, settings_, emit_, ports_.dialect);
-    config_ = std::make_unique<ConfigFollowSystem>(
-        settings_.host.follow, RandomSeed(), *node_, ports_, emit_);
+    config_ = std::make_unique<ConfigFollowSystem>(settings_.host, RandomSeed(),
+                                                   *node_, ports_, emit_);
     directory_ = std::make_unique<DirectorySystem>(
         settings_.host.directory, RandomSeed(), *node_, ports_, emit_);
     backend_ = std::make_unique<BackendSystem>(settings_.host.watch, *node_,
--- a/src/node/settings_table.cc
+++ b/src/node/settings_table.cc
@@ -104,6 +104,7 @@
 using Chain = core::chain::ChainSettings;
 using Host = HostSettings;
 using Follow = core::config::FollowSettings;
+using Relay = core::spread::RelaySettings;
 using Watch = core::backend::BackendWatchSettings;
 using StopSettings = core::stop::StopSettings;
 
@@ -233,6 +234,9 @@
       {"host", "probe_timeout", kOptional, kAtStart, Time(milliseconds(10), minutes(1), host, &Host::probe_timeout), "timeout of a health check"},
       {"host", "watch_wait", kOptional, kAtStart, Time(milliseconds(100), seconds(30), host, &Host::follow, &Follow::watch_wait), "wait of one watch of the configuration"},
       {"host", "key_lease", kOptional, kAtStart, Time(milliseconds(500), minutes(10), host, &Host::follow, &Follow::key_lease), "time for which a confirmed configuration admits keyed requests"},
+      {"host", "relay", kOptional, kAtStart, Flag(host, &Host::relay, &Relay::enabled), "confirm the configuration through a reader in each zone; false: each node watches the store"},
+      {"host", "relay_fanout", kOptional, kAtStart, Count(2, 100000, host, &Host::relay, &Relay::fanout), "nodes of a zone that one node tells of the configuration"},
+      {"host", "relay_interval", kOptional, kAtStart, Time(milliseconds(50), seconds(5), host, &Host::relay, &Relay::query_interval), "interval of the questions to each source"},
       {"host", "silence_limit", kOptional, kAtStart, Time(milliseconds(500), minutes(10), host, &Host::watch, &Watch::silence_limit), "time without heartbeats after which the backend server counts as gone"},
       {"log", "level", kOptional, kRunning, ChoiceSetting{Access(&Settings::log, &LogSettings::level), {"debug", "info", "warning", "error"}}, "minimum level that is logged"},
       {"log", "file", kOptional, kAtStart, TextSetting{Access(&Settings::log, &LogSettings::file)}, "file to append the log to; empty: output"},
--- a/src/node/settings_type.h
+++ b/src/node/settings_type.h
@@ -82,6 +82,7 @@
   std::uint32_t retry_percent = 5;
   std::chrono::milliseconds probe_timeout = std::chrono::seconds(1);
   core::config::FollowSettings follow;
+  core::spread::RelaySettings relay;
   core::member::DirectorySettings directory;
   core::backend::BackendWatchSettings watch;
 };
--- a/src/wire/spread_codec.cc
+++ b/src/wire/spread_codec.cc
@@ -12,6 +12,8 @@
 namespace spread = core::spread;
 using core::base::TicketNumber;
 
+constexpr std::int64_t kNoAge = -1;
+
 flatbuffers::Offset<fbs::SpreadTicket> AddTicket(
     flatbuffers::FlatBufferBuilder* fbb, TicketNumber number,
     const std::string& body) {
@@ -44,9 +46,11 @@
   if (answer.has_snapshot) {
     snapshot = AddTicket(&fbb, answer.snapshot.number, answer.snapshot.body);
   }
-  fbb.Finish(fbs::CreateSpreadFrame(fbb, answer.sequence, true,
-                                    answer.in_force.value(), false,
-                                    answer.fresh, ticket_vector, snapshot));
+  const std::int64_t age_us =
+      answer.confirmed_age ? answer.confirmed_age->count() : kNoAge;
+  fbb.Finish(fbs::CreateSpreadFrame(
+      fbb, answer.sequence, true, answer.in_force.value(), false, answer.fresh,
+      ticket_vector, snapshot, age_us));
   return EncodeFrame(FrameKind::kSpread, fbb);
 }
 
@@ -65,6 +69,9 @@
   answer.sequence = frame->sequence();
   answer.in_force = number;
   answer.fresh = frame->fresh();
+  if (frame->confirmed_age_us() >= 0) {
+    answer.confirmed_age = core::base::Duration(frame->confirmed_age_us());
+  }
   if (frame->tickets() != nullptr) {
     for (const fbs::SpreadTicket* it : *frame->tickets()) {
       answer.tickets.push_back({TicketNumber(it->number()), ReadBody(*it)});
--- a/src/wire/spread_generated.h
+++ b/src/wire/spread_generated.h
@@ -87,7 +87,8 @@
     VT_NUMBER_ONLY = 10,
     VT_FRESH = 12,
     VT_TICKETS = 14,
-    VT_SNAPSHOT = 16
+    VT_SNAPSHOT = 16,
+    VT_CONFIRMED_AGE_US = 18
   };
   uint64_t sequence() const { return GetField<uint64_t>(VT_SEQUENCE, 0); }
   bool is_answer() const { return GetField<uint8_t>(VT_IS_ANSWER, 0) != 0; }
@@ -104,6 +105,9 @@
   const dogwoodrail::wire::fbs::SpreadTicket* snapshot() const {
     return GetPointer<const dogwoodrail::wire::fbs::SpreadTicket*>(VT_SNAPSHOT);
   }
+  int64_t confirmed_age_us() const {
+    return GetField<int64_t>(VT_CONFIRMED_AGE_US, -1LL);
+  }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -115,7 +119,9 @@
            verifier.VerifyVector(tickets()) &&
            verifier.VerifyVectorOfTables(tickets()) &&
            VerifyOffset(verifier, VT_SNAPSHOT) &&
-           verifier.VerifyTable(snapshot()) && verifier.EndTable();
+           verifier.VerifyTable(snapshot()) &&
+           VerifyField<int64_t>(verifier, VT_CONFIRMED_AGE_US, 8) &&
+           verifier.EndTable();
   }
 };
 
@@ -151,6 +157,10 @@
       flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot) {
     fbb_.AddOffset(SpreadFrame::VT_SNAPSHOT, snapshot);
   }
+  void add_confirmed_age_us(int64_t confirmed_age_us) {
+    fbb_.AddElement<int64_t>(SpreadFrame::VT_CONFIRMED_AGE_US, confirmed_age_us,
+                             -1LL);
+  }
   explicit SpreadFrameBuilder(flatbuffers::FlatBufferBuilder& _fbb)
       : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -169,8 +179,10 @@
     flatbuffers::Offset<flatbuffers::Vector<
         flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket>>>
         tickets = 0,
-    flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot = 0) {
+    flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot = 0,
+    int64_t confirmed_age_us = -1LL) {
   SpreadFrameBuilder builder_(_fbb);
+  builder_.add_confirmed_age_us(confirmed_age_us);
   builder_.add_number(number);
   builder_.add_sequence(sequence);
   builder_.add_snapshot(snapshot);
@@ -188,15 +200,16 @@
     const std::vector<
         flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket>>* tickets =
         nullptr,
-    flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot = 0) {
+    flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot = 0,
+    int64_t confirmed_age_us = -1LL) {
   auto tickets__ =
       tickets ? _fbb.CreateVector<
                     flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket>>(
                     *tickets)
               : 0;
-  return dogwoodrail::wire::fbs::CreateSpreadFrame(_fbb, sequence, is_answer,
-                                                   number, number_only, fresh,
-                                                   tickets__, snapshot);
+  return dogwoodrail::wire::fbs::CreateSpreadFrame(
+      _fbb, sequence, is_answer, number, number_only, fresh, tickets__,
+      snapshot, confirmed_age_us);
 }
 
 }  // namespace fbs
--- a/tests/unit/config/follower_test.cc
+++ b/tests/unit/config/follower_test.cc
@@ -15,7 +15,7 @@
 // Returns a follower that has read the configuration at 1 s.
 ConfigFollower MakeStarted() {
   ConfigFollower follower(FollowSettings(), 1);
-  BOOST_REQUIRE(follower.Next(At(seconds(1))).has_value());
+  BOOST_REQUIRE(follower.Next(StoreUse::kWatch, At(seconds(1))).has_value());
   follower.OnResult(FollowResult::kRead, StoreRevision(7),
                     At(seconds(1) + milliseconds(5)));
   return follower;
@@ -27,18 +27,18 @@
 
 BOOST_AUTO_TEST_CASE(reads_first_then_watches_from_that_revision) {
   ConfigFollower follower = MakeStarted();
-  const auto call = follower.Next(At(seconds(2)));
+  const auto call = follower.Next(StoreUse::kWatch, At(seconds(2)));
   BOOST_REQUIRE(call.has_value());
   BOOST_TEST(call->watch);
   BOOST_TEST(call->after.value() == 7U);
-  BOOST_TEST(!follower.Next(At(seconds(2))).has_value());
+  BOOST_TEST(!follower.Next(StoreUse::kWatch, At(seconds(2))).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(reads_again_when_the_history_is_gone) {
   ConfigFollower follower = MakeStarted();
-  follower.Next(At(seconds(2)));
+  follower.Next(StoreUse::kWatch, At(seconds(2)));
   follower.OnResult(FollowResult::kHistoryGone, {}, At(seconds(2)));
-  const auto call = follower.Next(At(seconds(2)));
+  const auto call = follower.Next(StoreUse::kWatch, At(seconds(2)));
   BOOST_REQUIRE(call.has_value());
   BOOST_TEST(!call->watch);
 }
@@ -48,10 +48,10 @@
   base::TimePoint now = At(seconds(1));
   base::Duration longest{0};
   for (int it = 0; it < 12; ++it) {
-    BOOST_REQUIRE(follower.Next(now).has_value());
+    BOOST_REQUIRE(follower.Next(StoreUse::kWatch, now).has_value());
     follower.OnResult(FollowResult::kFailed, {}, now);
     const base::TimePoint failed = now;
-    while (!follower.Next(now)) now += milliseconds(1);
+    while (!follower.Next(StoreUse::kWatch, now)) now += milliseconds(1);
     longest = std::max<base::Duration>(longest, now - failed);
     follower.OnResult(FollowResult::kFailed, {}, now);
     now += seconds(1);
@@ -72,14 +72,14 @@
 // of the wait; an early response confirms it only at the time of the call.
 BOOST_AUTO_TEST_CASE(timed_out_watch_confirms_until_the_end_of_its_wait) {
   ConfigFollower waited = MakeStarted();
-  waited.Next(At(seconds(2)));
+  waited.Next(StoreUse::kWatch, At(seconds(2)));
   waited.OnResult(FollowResult::kUnchanged, StoreRevision(9),
                   At(seconds(2) + milliseconds(1600)));
   BOOST_TEST(waited.IsFresh(At(seconds(7) + milliseconds(400))));
   BOOST_TEST(!waited.IsFresh(At(seconds(7) + milliseconds(500))));
 
   ConfigFollower early = MakeStarted();
-  early.Next(At(seconds(2)));
+  early.Next(StoreUse::kWatch, At(seconds(2)));
   early.OnResult(FollowResult::kUnchanged, StoreRevision(9),
                  At(seconds(2) + milliseconds(10)));
   BOOST_TEST(!early.IsFresh(At(seconds(6))));
--- /dev/null
+++ b/tests/unit/spread/proof_relay_test.cc
@@ -0,0 +1,258 @@
+// Tests how nodes keep the configuration current and prove it, by the load and
+// the faults that they meet.
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/unit/spread/relay_simulation.h"
+
+using namespace std::chrono_literals;        // NOLINT
+using namespace dogwoodrail::tests::spread;  // NOLINT
+
+namespace dogwoodrail::tests::spread {
+
+constexpr std::uint64_t kRelaySeeds[] = {1, 2, 3};
+constexpr std::size_t kZones = 5;
+constexpr std::size_t kNodes = 95;
+// Bounds that the users state: a change is in force, a withdrawn key is gone.
+constexpr base::Duration kApplyBound = 2s;
+constexpr base::Duration kRevokeBound = 5s;
+
+// Fleet in which each node has the first configuration and its place.
+struct RelayFleet : RelaySimulation {
+  explicit RelayFleet(std::uint64_t seed, std::size_t nodes = kNodes,
+                      std::size_t zones = kZones)
+      : RelaySimulation(seed, zones, nodes) {
+    BOOST_TEST_MESSAGE("seed " << seed << " nodes " << nodes);
+    Publish();
+    Run(4s);
+    BOOST_TEST(AllHave(1));
+    ResetCounters();
+  }
+  ~RelayFleet() { BOOST_TEST(!AnyReverted()); }
+
+  // Runs for a time during which every running node has to stay fresh.
+  void RunFresh(base::Duration time) {
+    const base::TimePoint end = now() + time;
+    std::size_t stale_steps = 0;
+    while (now() < end) {
+      Run(kStep);
+      if (!AllFresh()) ++stale_steps;
+    }
+    BOOST_TEST(stale_steps == 0U);
+  }
+  // Runs until some time after a change; no node may admit by the older
+  // configuration past the bound of withdrawn keys.
+  void RunRevoked(base::Duration time) {
+    const base::TimePoint end = now() + time;
+    std::size_t late_steps = 0;
+    while (now() < end) {
+      Run(kStep);
+      if (AnyAdmitsWithdrawnKey(kRevokeBound)) ++late_steps;
+    }
+    BOOST_TEST(late_steps == 0U);
+  }
+  void Kill(const std::vector<std::size_t>& nodes) {
+    for (const std::size_t n : nodes) RelaySimulation::Kill(n);
+  }
+};
+
+}  // namespace dogwoodrail::tests::spread
+
+BOOST_AUTO_TEST_SUITE(proof_relay)
+
+// The calls of all nodes together must not grow with their number.
+BOOST_DATA_TEST_CASE(store_calls_do_not_grow_with_the_fleet,
+                     (std::vector<std::size_t>{12, 95, 300, 1000, 5000}),
+                     nodes) {
+  RelayFleet fleet(1, nodes);
+  fleet.RunFresh(10s);
+  BOOST_TEST_MESSAGE("store calls a second "
+                     << fleet.store_calls() / 10.0 << ", messages a second "
+                     << "and node " << fleet.messages() / 10.0 / nodes);
+  BOOST_TEST(fleet.store_calls() <= 40U);
+  fleet.Publish();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
+}
+
+BOOST_DATA_TEST_CASE(change_is_in_force_in_time_under_loss, kRelaySeeds, seed) {
+  RelayFleet fleet(seed);
+  fleet.loss = 0.05;
+  for (std::uint64_t number = 2; number < 12; ++number) {
+    fleet.Publish();
+    BOOST_TEST(
+        fleet.RunUntil([&] { return fleet.AllHave(number); }, kApplyBound));
+    fleet.RunFresh(1s);
+  }
+}
+
+BOOST_DATA_TEST_CASE(lost_reader_leaves_all_nodes_fresh, kRelaySeeds, seed) {
+  RelayFleet fleet(seed);
+  fleet.Kill({fleet.Readers().front()});
+  fleet.Publish();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
+  fleet.RunFresh(20s);
+}
+
+BOOST_DATA_TEST_CASE(frozen_reader_leaves_all_nodes_fresh, kRelaySeeds, seed) {
+  RelayFleet fleet(seed);
+  const std::size_t reader = fleet.Readers().front();
+  fleet[reader].paused = true;
+  fleet.Publish();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
+  fleet.RunFresh(10s);
+  fleet[reader].paused = false;
+  fleet.RunRevoked(10s);
+  BOOST_TEST(fleet.AllHave(2));
+}
+
+BOOST_DATA_TEST_CASE(loss_of_all_readers_is_no_outage_and_no_stampede,
+                     kRelaySeeds, seed) {
+  RelayFleet fleet(seed);
+  fleet.Kill(fleet.Readers());
+  fleet.RunFresh(20s);
+  BOOST_TEST_MESSAGE("worst second " << fleet.worst_second());
+  // Each node may ask once, with jitter.
+  BOOST_TEST(fleet.worst_second() <= kNodes + kZones);
+  fleet.Publish();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
+}
+
+BOOST_DATA_TEST_CASE(reader_cut_off_from_the_store_is_no_outage, kRelaySeeds,
+                     seed) {
+  RelayFleet fleet(seed);
+  const std::size_t reader = fleet.Readers().front();
+  fleet.store_cut = [&](std::size_t n) { return n == reader; };
+  fleet.RunFresh(10s);
+  fleet.Publish();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
+}
+
+// A node that reaches neither the store nor others must stop admitting keys.
+BOOST_DATA_TEST_CASE(withdrawn_key_stops_on_a_node_that_is_cut_off, kRelaySeeds,
+                     seed) {
+  RelayFleet fleet(seed);
+  const auto is_cut = [](std::size_t n) { return n % 7 == 3; };
+  fleet.store_cut = is_cut;
+  fleet.cut = [&](std::size_t a, std::size_t b) {
+    return is_cut(a) || is_cut(b);
+  };
+  fleet.Publish();
+  fleet.RunRevoked(12s);
+  fleet.store_cut = nullptr;
+  fleet.cut = nullptr;
+  BOOST_TEST(fleet.RunUntil(
+      [&] { return fleet.AllHave(2) && fleet.AllFresh(); }, 10s));
+}
+
+// Groups that are cut off together tell each other of the configuration, but
+// none of them can confirm it.
+BOOST_DATA_TEST_CASE(withdrawn_key_stops_in_a_group_that_is_cut_off,
+                     kRelaySeeds, seed) {
+  RelayFleet fleet(seed);
+  const auto is_cut = [](std::size_t n) { return n % kZones < 2; };
+  fleet.store_cut = is_cut;
+  fleet.cut = [&](std::size_t a, std::size_t b) {
+    return is_cut(a) != is_cut(b);
+  };
+  fleet.Run(1s);
+  fleet.Publish();
+  fleet.RunRevoked(15s);
+}
+
+BOOST_DATA_TEST_CASE(parted_nodes_that_reach_the_store_stay_fresh, kRelaySeeds,
+                     seed) {
+  RelayFleet fleet(seed);
+  const auto side = [](std::size_t n) { return (n / kZones) % 2; };
+  fleet.cut = [&](std::size_t a, std::size_t b) { return side(a) != side(b); };
+  fleet.RunFresh(10s);
+  fleet.Publish();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
+}
+
+BOOST_DATA_TEST_CASE(return_of_the_store_confirms_at_once, kRelaySeeds, seed) {
+  RelayFleet fleet(seed);
+  fleet.store_down = true;
+  fleet.Run(15s);
+  BOOST_TEST(!fleet.AllFresh());
+  BOOST_TEST(fleet.store_calls() <= kNodes * 12);
+  fleet.store_down = false;
+  fleet.ResetCounters();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllFresh(); }, 2s));
+}
+
+// The first configuration of a process comes from the store, even while other
+// nodes offer theirs.
+BOOST_DATA_TEST_CASE(restarted_node_takes_no_older_configuration, kRelaySeeds,
+                     seed) {
+  RelayFleet fleet(seed);
+  const std::size_t restarted = 17;
+  fleet.cut = [](std::size_t, std::size_t) { return true; };
+  fleet.Publish();
+  fleet.Run(3s);
+  fleet.store_down = true;
+  fleet.cut = nullptr;
+  fleet.Restart(restarted);
+  fleet.Run(3s);
+  BOOST_TEST(fleet[restarted].relay->in_force().value() == 0U);
+  fleet.store_down = false;
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
+}
+
+BOOST_DATA_TEST_CASE(restarted_fleet_is_fresh_within_seconds, kRelaySeeds,
+                     seed) {
+  RelayFleet fleet(seed);
+  for (std::size_t n = 0; n < fleet.size(); ++n) fleet.Restart(n);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.AllHave(1) && fleet.AllFresh(); }, 1s));
+  fleet.RunFresh(10s);
+}
+
+// A confirmation is counted from the query, so an answer that was delayed on
+// the way is not taken for younger than it is.
+BOOST_AUTO_TEST_CASE(delayed_answer_is_not_taken_for_younger_than_it_is) {
+  config::FollowSettings follow;
+  ProofRelay relay(
+      {}, follow, [](const Snapshot&) { return true; }, 1);
+  const base::NodeAddress source("a");
+  const base::TimePoint start{100s};
+  const base::TicketNumber number(3);
+  relay.Tick({false, {source}}, start);
+  relay.OnStoreResult(config::FollowResult::kRead, config::StoreRevision(1),
+                      Snapshot{number, "body"}, start);
+  const auto actions = relay.Tick({false, {source}}, start + 10ms);
+  BOOST_REQUIRE(actions.queries.size() == 1U);
+  PeerAnswer answer;
+  answer.sequence = actions.queries.front().query.sequence;
+  answer.in_force = number;
+  answer.confirmed_age = 1s;
+  const base::TimePoint arrival = start + 800ms;
+  relay.OnAnswer(source, answer, arrival);
+  BOOST_TEST((relay.Age(arrival) == 800ms));  // the store's own answer
+  const auto later = relay.Tick({false, {source}}, start + 1s);
+  BOOST_REQUIRE(later.queries.size() == 1U);
+  answer.sequence = later.queries.front().query.sequence;
+  answer.confirmed_age = 200ms;
+  relay.OnAnswer(source, answer, start + 1800ms);
+  BOOST_TEST((relay.Age(start + 1800ms) == 1s));
+}
+
+BOOST_AUTO_TEST_CASE(answer_to_no_query_confirms_nothing) {
+  config::FollowSettings follow;
+  ProofRelay relay(
+      {}, follow, [](const Snapshot&) { return true; }, 1);
+  const base::NodeAddress source("a");
+  const base::TimePoint start{100s};
+  relay.Tick({false, {source}}, start);
+  relay.OnStoreResult(config::FollowResult::kRead, config::StoreRevision(1),
+                      Snapshot{base::TicketNumber(3), "body"}, start);
+  relay.Tick({false, {source}}, start + 10ms);
+  PeerAnswer answer;
+  answer.in_force = base::TicketNumber(3);
+  answer.confirmed_age = 0s;
+  relay.OnAnswer(source, answer, start + 3s);
+  answer.sequence = 12345;
+  relay.OnAnswer(source, answer, start + 3s);
+  BOOST_TEST((relay.Age(start + 3s) == 3s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
