Let a fleet that starts at once learn its members from each other

Cause: a node sent records only once its own view was confirmed, and none is while all start together.

Change: only a view from before a pause of the process is withheld. A view that equals that of a peer asks once a second instead of four times. A zone's digests come in as many buckets as it has members for, instead of always 64 of 8 bytes.

A node of the version before ignores digests in fewer buckets, so during a rolling replacement some anti-entropy rounds between the two versions bring nothing; gossip is as before.

--- a/src/core/member/member_table.cc
+++ b/src/core/member/member_table.cc
@@ -147,7 +147,7 @@
   suspicions_.Restart(now);
   probes_.Restart(now);
   probes_.IncreaseHealthPenalty();
-  sync_.Restart(now);
+  sync_.OnPause(now);
   was_confirmed_ = false;
   if (gap >= settings_.tombstone_age) {
     store_.RemoveDeadBefore(now);  // other nodes have removed theirs
--- a/src/core/member/sync_control.cc
+++ b/src/core/member/sync_control.cc
@@ -11,22 +11,42 @@
 constexpr std::size_t kSeedsPerRequest = 3;
 constexpr std::size_t kMinAnswers = 3;
 constexpr std::size_t kFewRecords = 32;
+constexpr std::size_t kMinBuckets = 4;
+constexpr std::size_t kMembersPerBucket = 4;
+static_assert(kBucketCount % kMinBuckets == 0);
 
 bool HasNoOtherSeeds(const MemberSettings& settings, const MemberSelf& self) {
   return std::all_of(settings.seeds.begin(), settings.seeds.end(),
                      [&](const auto& it) { return it == self.address; });
 }
 
+// Returns the digests of a zone in `count` buckets, a divisor of kBucketCount.
+std::vector<std::uint64_t> FoldBuckets(const ZoneGroup* group,
+                                       std::size_t count) {
+  std::vector<std::uint64_t> folded(count, 0);
+  if (group == nullptr) return folded;
+  for (std::size_t it = 0; it < kBucketCount; ++it) {
+    folded[it % count] ^= group->buckets[it];
+  }
+  return folded;
+}
+
+// Returns the number of buckets for a zone. More would cost more than the
+// records that they spare.
+std::size_t ChooseBucketCount(const ZoneGroup* group) {
+  const std::size_t live = group == nullptr ? 0 : group->live.size();
+  std::size_t count = kMinBuckets;
+  while (count < kBucketCount && count * kMembersPerBucket < live) count *= 2;
+  return count;
+}
+
 MemberMessage MakeBuckets(const base::ZoneName& zone, const ZoneGroup* group,
-                          bool reply_wanted) {
+                          std::size_t count, bool reply_wanted) {
   MemberMessage message;
   message.kind = MessageKind::kSyncBuckets;
   message.bucket_zone = zone;
   message.reply_wanted = reply_wanted;
-  message.buckets.assign(kBucketCount, 0);
-  if (group != nullptr) {
-    message.buckets.assign(group->buckets.begin(), group->buckets.end());
-  }
+  message.buckets = FoldBuckets(group, count);
   return message;
 }
 
@@ -105,6 +125,11 @@
   }
 }
 
+void SyncControl::OnPause(base::TimePoint now) {
+  Restart(now);
+  maybe_outdated_ = !confirmed_;
+}
+
 void SyncControl::Restart(base::TimePoint now) {
   confirmed_ = HasNoOtherSeeds(settings_, self_);
   unconfirmed_since_ = now;
@@ -119,9 +144,12 @@
 }
 
 // A confirmed view may be that of a few nodes only. Requests stay frequent
-// while seeds are missing from it.
+// while seeds are missing from it. A view that equals that of a peer lacks only
+// a peer with a confirmed view, and there will not be one sooner for the
+// asking.
 base::Duration SyncControl::Interval() const {
-  if (!confirmed_) return settings_.join_interval;
+  if (!confirmed_ && !was_equal_) return settings_.join_interval;
+  if (!confirmed_) return settings_.sync_fast_interval;
   return seeds_.empty() ? settings_.sync_interval
                         : settings_.sync_fast_interval;
 }
@@ -197,7 +225,9 @@
       [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
   if (zones.size() > kZonesPerRequest) zones.resize(kZonesPerRequest);
   for (const base::ZoneName& it : zones) {
-    out->push_back({from, MakeBuckets(it, store.FindZone(it), true)});
+    const ZoneGroup* zone = store.FindZone(it);
+    out->push_back(
+        {from, MakeBuckets(it, zone, ChooseBucketCount(zone), true)});
   }
 }
 
@@ -205,18 +235,22 @@
                             const base::NodeAddress& from,
                             const MemberMessage& message, base::TimePoint now,
                             std::vector<SendMemberMessage>* out) {
-  if (message.buckets.size() != kBucketCount) return;
+  const std::size_t count = message.buckets.size();
+  if (count == 0 || kBucketCount % count != 0) return;
   const ZoneGroup* zone = store.FindZone(message.bucket_zone);
   if (message.reply_wanted) {
-    out->push_back({from, MakeBuckets(message.bucket_zone, zone, false)});
+    out->push_back(
+        {from, MakeBuckets(message.bucket_zone, zone, count, false)});
   }
-  // A view that is not confirmed may be outdated, so none of it is sent.
-  if (zone == nullptr || !confirmed_) return;
+  // A process that has just started knows little, but nothing outdated. Of a
+  // fleet that starts at once, no node would be confirmed without it.
+  if (zone == nullptr || maybe_outdated_) return;
   SendRecords(store, *zone, message.buckets, from, now, out);
 }
 
 void SyncControl::OnAnswer(const MemberMessage& message, base::TimePoint now) {
   if (message.differing_zones > kZonesPerRequest) ScheduleSoon(now);
+  was_equal_ = message.differing_zones == 0;
   // Answers left in the socket during a pause describe the view before it.
   if (confirmed_ || message.sequence < first_valid_sequence_) return;
   const bool waited = now - unconfirmed_since_ >= settings_.join_grace;
@@ -226,6 +260,7 @@
                             learned_ <= kFewRecords &&
                             message.differing_zones <= kZonesPerRequest;
   confirmed_ = message.differing_zones == 0 || nearly_equal;
+  if (confirmed_) maybe_outdated_ = false;
   learned_ = 0;
 }
 
@@ -235,12 +270,13 @@
                               const std::vector<std::uint64_t>& theirs,
                               const base::NodeAddress& to, base::TimePoint now,
                               std::vector<SendMemberMessage>* out) {
+  const std::vector<std::uint64_t> own = FoldBuckets(&zone, theirs.size());
   std::vector<const MemberRecord*> records;
   for (const std::vector<MemberIndex>* list : {&zone.live, &zone.dead}) {
     for (const MemberIndex it : *list) {
       const Member* member = store.Find(it);
-      const std::size_t bucket = BucketOf(member->address_hash);
-      if (theirs[bucket] != zone.buckets[bucket]) {
+      const std::size_t bucket = BucketOf(member->address_hash) % theirs.size();
+      if (theirs[bucket] != own[bucket]) {
         records.push_back(&member->record);
       }
     }
--- a/src/core/member/sync_control.h
+++ b/src/core/member/sync_control.h
@@ -29,8 +29,9 @@
                  std::vector<SendMemberMessage>* out);
   // Counts `count` records of a sync message that were new to this node.
   void CountLearned(std::size_t count) { learned_ += count; }
-  // Marks the view as not confirmed, and sends requests with the next tick.
-  void Restart(base::TimePoint now);
+  // Marks the view as not confirmed and possibly outdated after a pause of the
+  // process, and sends requests with the next tick.
+  void OnPause(base::TimePoint now);
   // Reloads the seeds after they have changed in the settings.
   void OnSeeds(base::TimePoint now);
   // Brings the next request forward to sync_fast_interval from now at the
@@ -40,6 +41,7 @@
   bool IsConfirmed() const { return confirmed_; }
 
  private:
+  void Restart(base::TimePoint now);
   base::Duration Interval() const;
   void SendRequest(const MemberStore& store,
                    std::vector<SendMemberMessage>* out);
@@ -67,6 +69,8 @@
   std::uint64_t first_valid_sequence_;  // older answers do not confirm the view
   bool started_ = false;
   bool confirmed_ = false;
+  bool maybe_outdated_ = false;  // the process paused and has no confirmation
+  bool was_equal_ = false;  // the last answer showed no difference
   std::size_t answers_ = 0;  // since the start or the last Restart
   std::size_t learned_ = 0;  // new records since the last answer
 };
--- a/tests/unit/member/member_simulation.h
+++ b/tests/unit/member/member_simulation.h
@@ -131,6 +131,7 @@
   std::size_t datagrams = 0;
   std::size_t bytes = 0;
   std::size_t bytes_between_regions = 0;
+  std::size_t bytes_between_zones = 0;
 
  private:
   struct InFlightDatagram {
@@ -178,6 +179,7 @@
     ++datagrams;
     bytes += size;
     if (region_[n] != region_[found->second]) bytes_between_regions += size;
+    if (zone_[n] != zone_[found->second]) bytes_between_zones += size;
     if (base::RandomUnit(random_) < loss) return;
     if (cut && cut(n, found->second)) return;
     in_flight_.push_back({n, found->second, std::move(send.message)});
--- a/tests/unit/member/member_table_test.cc
+++ b/tests/unit/member/member_table_test.cc
@@ -90,6 +90,33 @@
   BOOST_TEST(sim.RunUntil([&] { return sim.AllSee(kNodes); }, 2s));
 }
 
+// All nodes start at the same moment, so that none has a confirmed view that
+// others could copy.
+BOOST_DATA_TEST_CASE(fleet_that_starts_at_once_is_complete_within_seconds,
+                     kSeeds, seed) {
+  constexpr std::size_t kNodes = 95;
+  Simulation sim(seed);
+  AddFleet(&sim, 1, 5, kNodes / 5);
+  std::vector<base::NodeAddress> all;
+  for (std::size_t n = 0; n < kNodes; ++n) all.push_back(sim[n].address);
+  for (std::size_t n = 0; n < kNodes; ++n) {
+    sim[n].table->SetSeeds(all, sim.now());
+  }
+  const auto all_confirmed = [&] {
+    for (std::size_t n = 0; n < kNodes; ++n) {
+      if (!sim[n].table->IsConfirmed()) return false;
+    }
+    return true;
+  };
+  BOOST_TEST(sim.RunUntil([&] { return sim.AllSee(kNodes); }, 3s));
+  BOOST_TEST(sim.RunUntil(all_confirmed, 5s));
+  BOOST_TEST_MESSAGE("bytes a node "
+                     << sim.bytes / kNodes << ", to other zones "
+                     << sim.bytes_between_zones / kNodes << ", after "
+                     << sim.now().time_since_epoch().count() / 1000 << " ms");
+  BOOST_TEST(sim.bytes / kNodes <= 60'000U);
+}
+
 BOOST_DATA_TEST_CASE(a_leaving_node_is_gone_within_seconds, kSeeds, seed) {
   Fleet sim(seed);
   Announce(sim, 9, BackendPhase::kReady);
