Refuse late requests without a key in a planned stop

What callers saw: in a planned stop of one node, a request on a route that needs no key, sent 3 s after SIGTERM, was taken, run by an instance, and answered 502 at the end of the grace time while the instance was still at work: an answer of our own in place of the instance's, also for requests that may not be repeated.

Change: while requests of callers are refused, one without a key is taken only if its deadline is no later than that of an execution under way, as that of a call always is. No execution begins that late, so a new request has a later one.

A client's retry with little time left still looks like a call; it has to end within that time.

--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -15,6 +15,11 @@
 
 namespace {
 
+// Difference between the deadlines of an execution and of its calls, from
+// rounding and from the way of the messages.
+constexpr core::base::Duration kDeadlineTolerance =
+    std::chrono::milliseconds(100);
+
 // Returns the lowest importance set on any account, or nullopt if none is set.
 std::optional<Importance> LeastAccountImportance(
     const core::config::ConfigState& config) {
@@ -72,13 +77,25 @@
   if (const auto refusal = Identify(*headers, call, now)) {
     return RefuseImmediately(call, *refusal);
   }
-  if (refusing_callers_ && call.hop == 0) {
+  if (refusing_callers_ && !IsCallOfExecution(call, now)) {
     return RefuseImmediately(call, {Reason::kShuttingDown, ""});
   }
   call.idempotency_key = headers->idempotency_key;
   Admit(std::move(call), now);
 }
 
+// Where calls of executions carry no context, a caller's request may look like
+// one. The deadline tells them apart: a call has no more time than its
+// execution, and no execution began since requests are refused.
+bool EntrySystem::IsCallOfExecution(const EntryCall& call,
+                                    TimePoint now) const {
+  if (call.hop == 0) return false;
+  if (call.parent.IsValid()) return true;
+  if (!ports_.latest_execution_deadline || !call.caller_timeout) return false;
+  const auto latest = ports_.latest_execution_deadline();
+  return latest && now + *call.caller_timeout <= *latest + kDeadlineTolerance;
+}
+
 // The caller's timeout and attempt limit can only lower those of the route.
 std::optional<EntrySystem::Refusal> EntrySystem::Identify(
     const CallerHeaders& headers, EntryCall& call, TimePoint now) {
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -81,6 +81,9 @@
   };
 
   void Admit(EntryCall call, TimePoint now);
+  // Returns true if the request is a call made by an execution of the local
+  // backend server.
+  bool IsCallOfExecution(const EntryCall& call, TimePoint now) const;
   std::optional<Refusal> Identify(const CallerHeaders& headers, EntryCall& call,
                                   TimePoint now);
   std::optional<Refusal> IdentifyByContext(const CallerHeaders& headers,
--- a/src/node/entry_type.h
+++ b/src/node/entry_type.h
@@ -160,6 +160,9 @@
   // Returns true while the local backend server has requests queued or
   // running; optional.
   std::function<bool()> backend_is_busy;
+  // Returns the latest deadline of the requests queued or running at the local
+  // backend server, or nothing if there are none; optional.
+  std::function<std::optional<TimePoint>()> latest_execution_deadline;
   // Observer of requests that are refused before they become calls; optional.
   std::function<void(core::base::Importance, core::base::Reason)> on_refused;
   // Observer of the id of each request; optional.
--- a/src/node/node_ports.cc
+++ b/src/node/node_ports.cc
@@ -53,6 +53,9 @@
     return serving_.Find(index);
   };
   ports.backend_is_busy = [this] { return serving_.size() > 0; };
+  ports.latest_execution_deadline = [this] {
+    return serving_.LatestDeadline();
+  };
   ports.make_request_id = [] { return MakeRequestId(WallNow()); };
   ports.hash_key = HashKey;
   ports.digest = FingerprintDigest;
--- a/src/node/serving_base.cc
+++ b/src/node/serving_base.cc
@@ -289,6 +289,14 @@
 }
 
 // The queued calls go first, so that the end of a running one starts none.
+std::optional<core::base::TimePoint> ServingSystem::LatestDeadline() {
+  std::optional<TimePoint> latest;
+  executions_.ForEach([&](ExecutionIndex, const Execution& it) {
+    latest = std::max(latest.value_or(it.deadline), it.deadline);
+  });
+  return latest;
+}
+
 void ServingSystem::EndAll(TimePoint now) {
   stopping_ = true;
   for (const bool running : {false, true}) {
--- a/src/node/serving_base.h
+++ b/src/node/serving_base.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODRAIL_NODE_SERVING_BASE_H_
 #define DOGWOODRAIL_NODE_SERVING_BASE_H_
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -50,6 +51,9 @@
   Execution* Find(ExecutionIndex index) { return executions_.Find(index); }
   // Returns the last announcement of the backend server.
   const BackendAnnouncement& backend() const { return backend_; }
+  // Returns the latest deadline of the calls queued or running, if there are
+  // any.
+  std::optional<TimePoint> LatestDeadline();
   // Returns the number of calls queued or running.
   std::size_t size() const { return executions_.size(); }
 
--- a/tests/integration/platform/common/fleet.cc
+++ b/tests/integration/platform/common/fleet.cc
@@ -36,6 +36,10 @@
          action +
          R"(,{"name":"write","kind":"non_idempotent","priority":0,)"
          R"("target_latency_ms":1500,"matcher":{"prefix":"/write/"},)" +
+         action +
+         R"(,{"name":"open","kind":"non_idempotent","priority":0,)"
+         R"("public":true,)"
+         R"("target_latency_ms":1500,"matcher":{"prefix":"/open/"},)" +
          action + R"(]}],"clusters":[{"name":")" + service +
          R"(","health_path":"/healthz"}]})";
 }
--- a/tests/integration/platform/common/fleet.h
+++ b/tests/integration/platform/common/fleet.h
@@ -23,8 +23,8 @@
 // beside an instance, and the platform's store. The nodes are processes; the
 // stand-ins run on a thread of the test. The destructor ends all of them.
 //
-// Routes: /read/ is idempotent, /write/ is not; both
-// need a key.
+// Routes: /read/ is idempotent, /write/ is not; both need a key. /open/ is not
+// idempotent and needs none.
 class PlatformFleet {
  public:
   // `services` has the service of each node.
--- a/tests/integration/platform/deployed_settings_test.cc
+++ b/tests/integration/platform/deployed_settings_test.cc
@@ -1,4 +1,5 @@
 // Promises of docs/PROOF.md under the settings of deploy/node.ini.
+#include <algorithm>
 #include <atomic>
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/test/unit_test.hpp>
@@ -113,6 +114,53 @@
   BOOST_TEST(caller.served() == caller.sent());
 }
 
+// A request without a key looks like a call that the instance makes for a
+// request under way. It was taken late in the grace time, passed on, and ended
+// before the instance that ran it was done.
+BOOST_AUTO_TEST_CASE(late_request_without_a_key_is_refused_in_a_planned_stop) {
+  PlatformFleet fleet("late_request", {"lots", "lots", "lots"});
+  const auto script = [](const InstanceRequest& request) {
+    milliseconds time(20);
+    if (request.target.rfind("/read/busy", 0) == 0) time = milliseconds(3700);
+    if (request.target == "/open/late") time = milliseconds(3500);
+    return InstanceAnswer{true,
+                          {{time, PlatformInstance::SuccessText(request)}}};
+  };
+  for (std::size_t it = 0; it < fleet.size(); ++it) {
+    fleet.instance(it).SetScript(script);
+  }
+  std::atomic<int> served{0};
+  std::vector<std::thread> callers;
+  for (int it = 0; it < 12; ++it) {
+    callers.emplace_back([&fleet, &served, it] {
+      const std::string path = "/read/busy-" + std::to_string(it);
+      if (fleet.Send(1, "GET", path).status == 200) ++served;
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.node(0).SendSignal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(3000));
+  const auto send_open = [&fleet](const char* path, const char* deadline_ms) {
+    RawRequest request = fleet.MakeRequest("POST", path, "b");
+    request.headers.erase(
+        std::remove_if(request.headers.begin(), request.headers.end(),
+                       [](const RawHeader& it) {
+                         return it.name == "X-Api-Key" ||
+                                it.name == "Deadline-Ms";
+                       }),
+        request.headers.end());
+    request.AddHeader("Deadline-Ms", deadline_ms);
+    return SendRequest(fleet.caller_port(0), request).status;
+  };
+  // A call of an execution has no more time than that one.
+  BOOST_TEST(send_open("/open/call", "600") == 200);
+  BOOST_TEST(send_open("/open/late", "4000") == 503);
+  BOOST_TEST(fleet.CountRuns("/open/late") == 0U);
+  for (std::thread& it : callers) it.join();
+  BOOST_TEST(served == 12);
+  BOOST_TEST(fleet.node(0).WaitExit(kStopTimeout).value_or(-1) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(lost_power_of_all_nodes_keeps_the_configuration) {
   PlatformFleet fleet("lost_power", {"lots", "lots"});
   fleet.store().Put("config", "main", fleet.ConfigText(7));
