--- a/src/core/member/sync_control.h
+++ b/src/core/member/sync_control.h
@@ -70,9 +70,9 @@
   bool started_ = false;
   bool confirmed_ = false;
   bool maybe_outdated_ = false;  // the process paused and has no confirmation
-  bool was_equal_ = false;  // the last answer showed no difference
-  std::size_t answers_ = 0;  // since the start or the last Restart
-  std::size_t learned_ = 0;  // new records since the last answer
+  bool was_equal_ = false;       // the last answer showed no difference
+  std::size_t answers_ = 0;      // since the start or the last Restart
+  std::size_t learned_ = 0;      // new records since the last answer
 };
 
 }  // namespace dogwoodrail::core::member
