Join through the own zone first

Cause: while its view was not confirmed, a node asked a random node of the directory with each request, most of them in other zones, besides a member that was in another zone half of the time.

Change: one request in three goes to a node not known yet as well, and members of the own zone are asked three times of four until the view is confirmed.

--- a/src/core/member/sync_control.cc
+++ b/src/core/member/sync_control.cc
@@ -11,6 +11,9 @@
 constexpr std::size_t kSeedsPerRequest = 3;
 constexpr std::size_t kMinAnswers = 3;
 constexpr std::size_t kFewRecords = 32;
+// While the view is not confirmed, requests are frequent, and members tell of
+// most other nodes.
+constexpr std::size_t kRequestsPerSeed = 3;
 constexpr std::size_t kMinBuckets = 4;
 constexpr std::size_t kMembersPerBucket = 4;
 static_assert(kBucketCount % kMinBuckets == 0);
@@ -169,20 +172,23 @@
   }
 }
 
-// Contacts seeds until each is a live member, and occasionally afterwards, so
-// that two partitions that have removed each other's members merge again.
+// A node that joins learns from its own zone first, since traffic between zones
+// costs more. Contacts seeds until each is a live member, and occasionally
+// afterwards, so that two partitions that have removed each other's members
+// merge again.
 std::vector<base::NodeAddress> SyncControl::PickPeers(
     const MemberStore& store) {
   std::vector<base::NodeAddress> peers;
   const std::uint64_t turn = base::RandomBelow(*random_, 8);
   Proximity proximity = Proximity::kZone;
-  if (turn >= 4) {
+  if (turn >= (confirmed_ ? 4U : 6U)) {
     proximity = turn >= 6 ? Proximity::kRemote : Proximity::kRegion;
   }
   const MemberIndex index =
       PickPeerWithFallback(store, self_, proximity, random_);
   if (index.IsValid()) peers.push_back(store.Find(index)->record.address);
-  if (!peers.empty()) {
+  const bool ask_seed = confirmed_ || ++requests_ % kRequestsPerSeed == 0;
+  if (!peers.empty() && ask_seed) {
     if (auto seed = seeds_.NextUndiscovered(store, random_)) {
       peers.push_back(std::move(*seed));
       return peers;
--- a/src/core/member/sync_control.h
+++ b/src/core/member/sync_control.h
@@ -71,6 +71,7 @@
   bool confirmed_ = false;
   bool maybe_outdated_ = false;  // the process paused and has no confirmation
   bool was_equal_ = false;       // the last answer showed no difference
+  std::size_t requests_ = 0;     // sent while not confirmed
   std::size_t answers_ = 0;      // since the start or the last Restart
   std::size_t learned_ = 0;      // new records since the last answer
 };
--- a/tests/unit/member/member_table_test.cc
+++ b/tests/unit/member/member_table_test.cc
@@ -115,6 +115,9 @@
                      << sim.bytes_between_zones / kNodes << ", after "
                      << sim.now().time_since_epoch().count() / 1000 << " ms");
   BOOST_TEST(sim.bytes / kNodes <= 60'000U);
+  // Peers chosen without regard to zones would be in another one four times of
+  // five.
+  BOOST_TEST(sim.bytes_between_zones * 5 <= sim.bytes * 2);
 }
 
 BOOST_DATA_TEST_CASE(a_leaving_node_is_gone_within_seconds, kSeeds, seed) {
