--- a/tests/integration/platform/deployed_settings_test.cc
+++ b/tests/integration/platform/deployed_settings_test.cc
@@ -129,9 +129,11 @@
   for (std::size_t it = 0; it < fleet.size(); ++it) {
     fleet.instance(it).SetScript(script);
   }
+  constexpr int kCallers = 12;
   std::atomic<int> served{0};
   std::vector<std::thread> callers;
-  for (int it = 0; it < 12; ++it) {
+  callers.reserve(kCallers);
+  for (int it = 0; it < kCallers; ++it) {
     callers.emplace_back([&fleet, &served, it] {
       const std::string path = "/read/busy-" + std::to_string(it);
       if (fleet.Send(1, "GET", path).status == 200) ++served;
@@ -157,7 +159,7 @@
   BOOST_TEST(send_open("/open/late", "4000") == 503);
   BOOST_TEST(fleet.CountRuns("/open/late") == 0U);
   for (std::thread& it : callers) it.join();
-  BOOST_TEST(served == 12);
+  BOOST_TEST(served == kCallers);
   BOOST_TEST(fleet.node(0).WaitExit(kStopTimeout).value_or(-1) == 0);
 }
 
--- a/tests/unit/spread/relay_simulation.h
+++ b/tests/unit/spread/relay_simulation.h
@@ -230,7 +230,7 @@
   }
 
   void Execute(std::size_t n, RelayActions actions) {
-    for (SendQuery& it : actions.queries) Send(n, it.to, std::move(it.query));
+    for (const SendQuery& it : actions.queries) Send(n, it.to, it.query);
     for (SendAnswer& it : actions.answers) {
       Send(n, it.to, std::move(it.answer));
     }
