Watch the store in place of relays that the store refuses or ignores

Cause, by reading and in the simulation: a node whose sources answer but cannot confirm asked the store only once its confirmation was 2.6 to 2.9 s old; a watch that got no answer held its reader back for 2.5 s; a configuration pushed by a node that was no longer a source was dropped; a reader had one source in another zone.

Change: an answer of the relay says whether a working watch stands behind it, and a change of that is pushed. A node whose sources know of no working watch watches the store in their place, after a delay of up to 0.2 s. A second call is made beside one whose response is overdue (twice the last response time, 0.25 to 1 s); results of overtaken calls are ignored. Readers query two other zones. Pushed configurations are taken from any node. A watch waits 1.25 s, was 1.5 s.

--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -12,46 +12,83 @@
 // The store keeps its history for a limited time. An older revision is likely
 // gone, so a watch from it would cost a second call.
 constexpr base::Duration kMaxRevisionAge = std::chrono::seconds(10);
+// A call whose response is overdue, and the one that replaces it.
+constexpr std::size_t kMaxOpenCalls = 2;
 
 }  // namespace
 
 ConfigFollower::ConfigFollower(const FollowSettings& settings,
                                std::uint64_t seed)
-    : settings_(settings), random_(seed) {}
+    : settings_(settings),
+      random_(seed),
+      response_time_(settings.min_response_time) {}
 
 std::optional<FollowCall> ConfigFollower::Next(StoreUse use,
                                                base::TimePoint now) {
-  if (use == StoreUse::kNone || call_ || now < next_at_) return std::nullopt;
+  if (use == StoreUse::kNone || now < next_at_) return std::nullopt;
+  if (open_calls_.size() >= kMaxOpenCalls) return std::nullopt;
+  const bool replaces =
+      !open_calls_.empty() && open_calls_.back().call.id > answered_id_;
+  if (replaces && !IsOverdue(open_calls_.back(), now)) return std::nullopt;
   use_ = use;
   FollowCall call;
+  call.id = ++last_id_;
   if (revision_ && now - revision_at_ < kMaxRevisionAge) {
+    const bool is_short = replaces || use == StoreUse::kConfirm;
     call.watch = true;
     call.after = *revision_;
-    call.wait = use == StoreUse::kWatch ? settings_.watch_wait : kShortWait;
+    call.wait = is_short ? kShortWait : settings_.watch_wait;
   }
-  call_ = call;
-  sent_at_ = now;
+  open_calls_.push_back({call, now});
   return call;
 }
 
+bool ConfigFollower::IsOverdue(const OpenCall& open,
+                               base::TimePoint now) const {
+  return now - open.sent_at > open.call.wait + response_time_;
+}
+
+bool ConfigFollower::IsWatching(base::TimePoint now) const {
+  const base::Duration longest = settings_.watch_wait + response_time_;
+  return answered_id_ != 0 && failures_ == 0 && now - answered_at_ <= longest;
+}
+
+std::optional<ConfigFollower::OpenCall> ConfigFollower::TakeCall(
+    std::uint64_t id) {
+  const auto it = std::find_if(open_calls_.begin(), open_calls_.end(),
+                               [id](const auto& o) { return o.call.id == id; });
+  if (it == open_calls_.end()) return std::nullopt;
+  const OpenCall open = *it;
+  open_calls_.erase(it);
+  return open;
+}
+
 // A response confirms the configuration as of the time when the store created
 // it: not before the call was sent, and for a watch that timed out, not before
-// its wait was over.
-void ConfigFollower::OnResult(FollowResult result, StoreRevision revision,
-                              base::TimePoint now) {
-  if (!call_) return;
-  const FollowCall call = *call_;
-  call_.reset();
+// its wait was over. A call that a later one has overtaken says nothing of the
+// store's present state.
+void ConfigFollower::OnResult(std::uint64_t id, FollowResult result,
+                              StoreRevision revision, base::TimePoint now) {
+  const auto open = TakeCall(id);
+  if (!open || id < answered_id_) return;
   if (result == FollowResult::kFailed) return ScheduleRetry(now);
+  answered_id_ = id;
+  answered_at_ = now;
   failures_ = 0;
   next_at_ = now;
   if (result == FollowResult::kHistoryGone) {
     revision_.reset();
     return;
   }
-  const bool timed_out =
-      result == FollowResult::kUnchanged && now - sent_at_ >= call.wait;
-  Confirm(timed_out ? sent_at_ + call.wait : sent_at_);
+  const base::Duration wait = open->call.wait;
+  const base::Duration taken = now - open->sent_at;
+  const bool timed_out = result == FollowResult::kUnchanged && taken >= wait;
+  const base::Duration response_time = timed_out ? taken - wait : taken;
+  if (timed_out || !open->call.watch) {
+    response_time_ = std::clamp(2 * response_time, settings_.min_response_time,
+                                settings_.max_response_time);
+  }
+  Confirm(timed_out ? open->sent_at + wait : open->sent_at);
   revision_ = revision;
   revision_at_ = now;
 }
@@ -64,7 +101,7 @@
 void ConfigFollower::ScheduleRetry(base::TimePoint now) {
   const base::Duration longest = use_ == StoreUse::kWatch
                                      ? settings_.retry_max
-                                     : settings_.confirm_retry_max;
+                                     : settings_.stand_in_retry_max;
   next_at_ = now + base::BackoffDelay(failures_, settings_.retry_min, longest,
                                       random_);
   ++failures_;
--- a/src/core/config/config_follower.h
+++ b/src/core/config/config_follower.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "core/base/id_type.h"
 #include "core/base/random_type.h"
@@ -16,12 +17,16 @@
 // Timing of reads and watches of the configuration.
 struct FollowSettings {
   // Maximum wait of one watch; limits the age of the known configuration.
-  base::Duration watch_wait = std::chrono::milliseconds(1500);
+  base::Duration watch_wait = std::chrono::milliseconds(1250);
+  // Time after the wait of a call within which a response is expected; twice
+  // the last response's, within these limits.
+  base::Duration min_response_time = std::chrono::milliseconds(250);
+  base::Duration max_response_time = std::chrono::seconds(1);
   // Minimum and maximum delay of the exponential backoff after failures.
   base::Duration retry_min = std::chrono::milliseconds(100);
   base::Duration retry_max = std::chrono::milliseconds(800);
   // Maximum delay on a node that other nodes will tell of the store's return.
-  base::Duration confirm_retry_max = std::chrono::seconds(4);
+  base::Duration stand_in_retry_max = std::chrono::seconds(4);
   // Time for which a confirmed configuration is valid for admitting requests
   // with a key.
   base::Duration key_lease = std::chrono::seconds(4);
@@ -29,13 +34,15 @@
 
 // What a node needs of the store at the moment.
 enum class StoreUse : std::uint8_t {
-  kNone,     // other nodes confirm the configuration
-  kWatch,    // continuous watches, to learn of a change at once
-  kConfirm,  // one confirmation as soon as possible
+  kNone,          // other nodes confirm the configuration
+  kWatch,         // continuous watches, to learn of a change at once
+  kStandInWatch,  // as kWatch, while the nodes that should watch cannot
+  kConfirm,       // one confirmation as soon as possible
 };
 
 // A call to make to the store.
 struct FollowCall {
+  std::uint64_t id = 0;    // passed back with the result
   bool watch = false;      // false: read the current state
   StoreRevision after;     // for a watch: report changes after this revision
   base::Duration wait{0};  // for a watch
@@ -58,11 +65,11 @@
  public:
   ConfigFollower(const FollowSettings& settings, std::uint64_t seed);
 
-  // Returns the call that is due now, if any. Only one call is in progress at a
-  // time.
+  // Returns the call that is due now, if any. A second call is made while the
+  // response to the first is overdue.
   std::optional<FollowCall> Next(StoreUse use, base::TimePoint now);
-  // Handles the result of the call in progress, with the revision of the store.
-  void OnResult(FollowResult result, StoreRevision revision,
+  // Handles the result of a call, with the revision of the store.
+  void OnResult(std::uint64_t id, FollowResult result, StoreRevision revision,
                 base::TimePoint now);
   // Handles a confirmation by another node: the store confirmed the
   // configuration at `time` or later.
@@ -79,19 +86,30 @@
   std::optional<base::TimePoint> confirmed_at() const {
     return confirmed_ ? std::optional(confirmed_at_) : std::nullopt;
   }
-  // Returns the number of consecutive failures.
-  std::uint32_t failures() const { return failures_; }
+  // Returns true if the store answers the watches of this node: it will be told
+  // of a change at once.
+  bool IsWatching(base::TimePoint now) const;
 
  private:
+  struct OpenCall {
+    FollowCall call;
+    base::TimePoint sent_at;
+  };
+
+  std::optional<OpenCall> TakeCall(std::uint64_t id);
+  bool IsOverdue(const OpenCall& open, base::TimePoint now) const;
   void ScheduleRetry(base::TimePoint now);
 
   FollowSettings settings_;
   base::Random random_;
   std::optional<StoreRevision> revision_;
-  base::TimePoint revision_at_;  // when revision_ was received
-  std::optional<FollowCall> call_;
+  base::TimePoint revision_at_;       // when revision_ was received
+  std::vector<OpenCall> open_calls_;  // in the order in which they were sent
+  std::uint64_t last_id_ = 0;
+  std::uint64_t answered_id_ = 0;  // latest call with a response
+  base::TimePoint answered_at_;
   StoreUse use_ = StoreUse::kNone;  // of the last call
-  base::TimePoint sent_at_;
+  base::Duration response_time_;    // expected, after the wait of a call
   base::TimePoint next_at_;
   base::TimePoint confirmed_at_;
   bool confirmed_ = false;
--- a/src/core/spread/proof_relay.cc
+++ b/src/core/spread/proof_relay.cc
@@ -39,12 +39,26 @@
   snapshot_bytes_left_ = settings_.snapshot_bytes_per_tick;
   ExcludeSilentSources(now);
   UpdateSources(view);
+  UpdateWatched(view, now);
   SendQueries(now, &actions);
   SendChanges(now, &actions);
-  actions.store_call = follower_.Next(ChooseStoreUse(view, now), now);
+  store_use_ = ChooseStoreUse(view, now);
+  actions.store_call = follower_.Next(store_use_, now);
   return actions;
 }
 
+// A reader counts its own watch only, because the sources of readers are
+// readers: two that have lost the store could each rely on the other.
+void ProofRelay::UpdateWatched(const RelayView& view, base::TimePoint now) {
+  const bool source_watched =
+      std::any_of(sources_.begin(), sources_.end(),
+                  [](const auto& it) { return it.second.watched; });
+  if (source_watched) sources_watched_at_ = now;
+  const bool watches = view.is_reader || store_use_ == StoreUse::kStandInWatch;
+  const bool own_watched = watches && follower_.IsWatching(now);
+  watched_ = own_watched || (!view.is_reader && source_watched);
+}
+
 void ProofRelay::ExcludeSilentSources(base::TimePoint now) {
   for (auto it = excluded_.begin(); it != excluded_.end();) {
     it = it->second <= now ? excluded_.erase(it) : std::next(it);
@@ -92,11 +106,13 @@
       it = subscribers_.erase(it);
       continue;
     }
-    const bool announce = subscriber.announced < in_force();
+    const bool announce = subscriber.announced < in_force() ||
+                          subscriber.told_watched != watched_;
     if (announce || subscriber.known < in_force()) {
       PeerAnswer answer = MakeAnswer(0, now);
       AddSnapshot(&subscriber, &answer);
       subscriber.announced = in_force();
+      subscriber.told_watched = watched_;
       if (announce || answer.has_snapshot) {
         actions->answers.push_back({it->first, std::move(answer)});
       }
@@ -110,6 +126,7 @@
   PeerAnswer answer;
   answer.sequence = sequence;
   answer.in_force = in_force();
+  answer.watched = watched_;
   const auto confirmed_at = follower_.confirmed_at();
   if (confirmed_at && now >= *confirmed_at) {
     answer.confirmed_age = now - *confirmed_at;
@@ -128,26 +145,31 @@
 }
 
 StoreUse ProofRelay::ChooseStoreUse(const RelayView& view,
-                                    base::TimePoint now) {
+                                    base::TimePoint now) const {
   if (in_force() == base::TicketNumber() || view.is_reader) {
     return StoreUse::kWatch;
   }
   if (view.sources.empty() && sources_.empty()) return StoreUse::kWatch;
+  if (now - sources_watched_at_ > jitter_) return StoreUse::kStandInWatch;
+  return NeedsConfirmation(now) ? StoreUse::kConfirm : StoreUse::kNone;
+}
+
+bool ProofRelay::NeedsConfirmation(base::TimePoint now) const {
   const auto confirmed_at = follower_.confirmed_at();
   const bool silent = now - last_heard_ > settings_.max_silence + jitter_;
   const bool old =
       !confirmed_at || now - *confirmed_at > settings_.max_age + jitter_;
   const bool lags = in_force() < highest_seen_ &&
                     now - highest_seen_at_ > settings_.max_lag + jitter_;
-  return silent || old || lags ? StoreUse::kConfirm : StoreUse::kNone;
+  return silent || old || lags;
 }
 
-RelayActions ProofRelay::OnStoreResult(FollowResult result,
+RelayActions ProofRelay::OnStoreResult(std::uint64_t call, FollowResult result,
                                        config::StoreRevision revision,
                                        std::optional<Snapshot> snapshot,
                                        base::TimePoint now) {
   if (snapshot) SetInForce(*snapshot);
-  follower_.OnResult(result, revision, now);
+  follower_.OnResult(call, result, revision, now);
   if (result != FollowResult::kFailed) {
     last_heard_ = now;
     jitter_ = DrawJitter();
@@ -163,6 +185,7 @@
   subscriber.expires = now + settings_.subscription_time;
   subscriber.known = query.after;
   subscriber.announced = in_force();
+  subscriber.told_watched = watched_;
   PeerAnswer answer = MakeAnswer(query.sequence, now);
   AddSnapshot(&subscriber, &answer);
   RelayActions actions;
@@ -170,15 +193,16 @@
   return actions;
 }
 
-// The store confirmed `in_force` no earlier than the age before the query was
-// sent, because the answer was created after that.
+// A configuration is taken from any node, also one that is no longer a source;
+// a confirmation only in answer to a query. The store confirmed `in_force` no
+// earlier than the age before the query was sent, because the answer was
+// created after that.
 RelayActions ProofRelay::OnAnswer(const base::NodeAddress& peer,
                                   const PeerAnswer& answer,
                                   base::TimePoint now) {
   RelayActions actions;
-  const auto it = sources_.find(peer);
-  if (it == sources_.end()) return actions;
-  if (answer.has_snapshot && in_force() < answer.snapshot.number &&
+  const bool started = in_force() != base::TicketNumber();
+  if (answer.has_snapshot && started && in_force() < answer.snapshot.number &&
       apply_(answer.snapshot)) {
     SetInForce(answer.snapshot);
     SendChanges(now, &actions);
@@ -187,7 +211,10 @@
     highest_seen_ = answer.in_force;
     highest_seen_at_ = now;
   }
+  const auto it = sources_.find(peer);
+  if (it == sources_.end()) return actions;
   Source& source = it->second;
+  source.watched = answer.watched;
   if (answer.sequence == 0 || answer.sequence != source.sequence) {
     return actions;
   }
--- a/src/core/spread/proof_relay.h
+++ b/src/core/spread/proof_relay.h
@@ -27,7 +27,8 @@
 // store's confirmation, measured on the answering node; the receiver counts it
 // from the time of its own query, so that a confirmation is never taken for
 // younger than it is. A node that no answer reaches in time asks the store
-// itself.
+// itself. So does one whose sources all know of no working watch: they cannot
+// tell it of a change.
 //
 // Load pattern: calls to the store grow with the number of zones instead of
 // nodes.
@@ -44,9 +45,9 @@
   // Runs the timers. Called about every 100 ms or more often.
   RelayActions Tick(const RelayView& view, base::TimePoint now);
 
-  // Handles the result of the store call, with the revision of the store and
+  // Handles the result of a store call, with the revision of the store and
   // the configuration if the result has one that is in force now.
-  RelayActions OnStoreResult(config::FollowResult result,
+  RelayActions OnStoreResult(std::uint64_t call, config::FollowResult result,
                              config::StoreRevision revision,
                              std::optional<Snapshot> snapshot,
                              base::TimePoint now);
@@ -77,24 +78,30 @@
     std::uint64_t sequence = 0;  // of the open query; 0: none
     base::TimePoint sent_at;
     base::TimePoint next_query;
+    bool watched = true;  // as last told
   };
   // A node that queries this one.
   struct Subscriber {
     base::TimePoint expires;
     base::TicketNumber known;      // configuration that it has
     base::TicketNumber announced;  // highest number that it was told
+    bool told_watched = false;     // PeerAnswer::watched as last told
   };
 
   void UpdateSources(const RelayView& view);
   void ExcludeSilentSources(base::TimePoint now);
   void SendQueries(base::TimePoint now, RelayActions* actions);
   void SendChanges(base::TimePoint now, RelayActions* actions);
+  void UpdateWatched(const RelayView& view, base::TimePoint now);
   void SetInForce(const Snapshot& snapshot);
   PeerAnswer MakeAnswer(std::uint64_t sequence, base::TimePoint now) const;
   // Adds the configuration if the subscriber lacks it and the limit of this
   // tick allows it.
   void AddSnapshot(Subscriber* subscriber, PeerAnswer* answer);
-  config::StoreUse ChooseStoreUse(const RelayView& view, base::TimePoint now);
+  config::StoreUse ChooseStoreUse(const RelayView& view,
+                                  base::TimePoint now) const;
+  // Returns true if the store has to be asked once.
+  bool NeedsConfirmation(base::TimePoint now) const;
   base::Duration DrawJitter();
 
   const RelaySettings settings_;
@@ -110,6 +117,10 @@
   std::uint64_t last_sequence_;
   base::TimePoint last_tick_;
   base::TimePoint last_heard_;  // answer of a source or the store
+  config::StoreUse store_use_ = config::StoreUse::kNone;
+  // Result of UpdateWatched, as told to other nodes.
+  bool watched_ = false;
+  base::TimePoint sources_watched_at_;  // last time that one told so
   base::TicketNumber highest_seen_;
   base::TimePoint highest_seen_at_;
   base::Duration jitter_;
--- a/src/core/spread/reader_choice.cc
+++ b/src/core/spread/reader_choice.cc
@@ -126,13 +126,16 @@
   const member::ZoneGroup& zone = *zones[std::min(n, zones.size() - 1)];
   const RankedZone ranked = RankZone(store, zone, 0, settings, is_excluded);
   if (ranked.relays.empty()) return;
-  view->sources.push_back(ranked.relays.front()->record.address);
+  const base::NodeAddress& reader = ranked.relays.front()->record.address;
+  const auto known =
+      std::find(view->sources.begin(), view->sources.end(), reader);
+  if (known == view->sources.end()) view->sources.push_back(reader);
 }
 
 }  // namespace
 
-// The reader and the second relay of a zone each have a source in another zone,
-// so that the loss of one reader leaves every node with a source.
+// The reader of a zone has sources in two other zones and the second relay in
+// one, so that the loss of one reader leaves every node with a source.
 RelayView MakeRelayView(const member::MemberStore& store,
                         const member::MemberSelf& self,
                         const RelaySettings& settings,
@@ -147,6 +150,7 @@
   view.is_reader = position == 0;
   if (position == 0) {
     AddReaderOfZoneAfter(store, self, 0, settings, is_excluded, &view);
+    AddReaderOfZoneAfter(store, self, 1, settings, is_excluded, &view);
     return view;
   }
   const auto add_relay = [&](std::size_t n) {
--- a/src/core/spread/spread_type.h
+++ b/src/core/spread/spread_type.h
@@ -42,6 +42,9 @@
   // Time since the platform confirmed `in_force`, at the moment of the answer.
   // Set by ProofRelay only.
   std::optional<base::Duration> confirmed_age;
+  // A watch of the platform, by the peer or a node that it queries, is working,
+  // so that the peer will learn of a change at once. Set by ProofRelay only.
+  bool watched = false;
   std::vector<Ticket> tickets;
   bool has_snapshot = false;
   Snapshot snapshot;
@@ -118,7 +121,8 @@
   base::Duration exclusion_time = std::chrono::seconds(5);
   // A node asks the platform itself if no source has answered for this long.
   base::Duration max_silence = std::chrono::milliseconds(1300);
-  // It also does if the last confirmation is older than this. Less than the
+  // It also watches the platform while no source knows of a working watch, and
+  // asks if the last confirmation is older than this. Less than the
   // time for which a confirmation is valid, so that a confirmation from the
   // platform arrives before.
   base::Duration max_age = std::chrono::milliseconds(2600);
@@ -126,7 +130,7 @@
   // arrived for this long.
   base::Duration max_lag = std::chrono::milliseconds(500);
   // Random delay of each of these, so that nodes do not ask all at once.
-  base::Duration jitter = std::chrono::milliseconds(300);
+  base::Duration jitter = std::chrono::milliseconds(200);
   // A node that queried within this time is told of changes.
   base::Duration subscription_time = std::chrono::seconds(3);
   // Nodes of a zone that one node answers.
--- a/src/node/config_follow_system.cc
+++ b/src/node/config_follow_system.cc
@@ -78,9 +78,11 @@
   }
   if (!actions.store_call) return;
   ++store_calls_;
-  ports_.follow_config(*actions.store_call, [this](const ConfigAnswer& answer) {
-    OnAnswer(answer, Node::Now());
-  });
+  ports_.follow_config(
+      *actions.store_call,
+      [this, call = actions.store_call->id](const ConfigAnswer& answer) {
+        OnAnswer(call, answer, Node::Now());
+      });
 }
 
 void ConfigFollowSystem::OnFrame(wire::LinkId from,
@@ -114,7 +116,8 @@
          "age_ms=" + std::to_string(age.count())});
 }
 
-void ConfigFollowSystem::OnAnswer(const ConfigAnswer& answer, TimePoint now) {
+void ConfigFollowSystem::OnAnswer(std::uint64_t call,
+                                  const ConfigAnswer& answer, TimePoint now) {
   const bool failed = answer.result == FollowResult::kFailed;
   if (failed) ++store_failures_;
   UpdateStoreReachable(!failed, answer.detail);
@@ -125,7 +128,7 @@
   } else {
     ReportUnusable(answer);
   }
-  Execute(relay_.OnStoreResult(answer.result, answer.revision,
+  Execute(relay_.OnStoreResult(call, answer.result, answer.revision,
                                std::move(snapshot), now));
   Run(now);
 }
--- a/src/node/config_follow_system.h
+++ b/src/node/config_follow_system.h
@@ -40,7 +40,7 @@
   void Run(TimePoint now);
   void Execute(core::spread::RelayActions actions);
   void OnFrame(wire::LinkId from, const wire::Bytes& payload);
-  void OnAnswer(const ConfigAnswer& answer, TimePoint now);
+  void OnAnswer(std::uint64_t call, const ConfigAnswer& answer, TimePoint now);
   // Activates a configuration received from another node.
   bool ApplySnapshot(const core::spread::Snapshot& snapshot);
   // Activates a configuration unless a newer one is active.
--- a/src/wire/spread_codec.cc
+++ b/src/wire/spread_codec.cc
@@ -50,7 +50,7 @@
       answer.confirmed_age ? answer.confirmed_age->count() : kNoAge;
   fbb.Finish(fbs::CreateSpreadFrame(
       fbb, answer.sequence, true, answer.in_force.value(), false, answer.fresh,
-      ticket_vector, snapshot, age_us));
+      ticket_vector, snapshot, age_us, answer.watched));
   return EncodeFrame(FrameKind::kSpread, fbb);
 }
 
@@ -69,6 +69,7 @@
   answer.sequence = frame->sequence();
   answer.in_force = number;
   answer.fresh = frame->fresh();
+  answer.watched = frame->watched();
   if (frame->confirmed_age_us() >= 0) {
     answer.confirmed_age = core::base::Duration(frame->confirmed_age_us());
   }
--- a/src/wire/spread_generated.h
+++ b/src/wire/spread_generated.h
@@ -88,7 +88,8 @@
     VT_FRESH = 12,
     VT_TICKETS = 14,
     VT_SNAPSHOT = 16,
-    VT_CONFIRMED_AGE_US = 18
+    VT_CONFIRMED_AGE_US = 18,
+    VT_WATCHED = 20
   };
   uint64_t sequence() const { return GetField<uint64_t>(VT_SEQUENCE, 0); }
   bool is_answer() const { return GetField<uint8_t>(VT_IS_ANSWER, 0) != 0; }
@@ -108,6 +109,7 @@
   int64_t confirmed_age_us() const {
     return GetField<int64_t>(VT_CONFIRMED_AGE_US, -1LL);
   }
+  bool watched() const { return GetField<uint8_t>(VT_WATCHED, 0) != 0; }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -121,7 +123,7 @@
            VerifyOffset(verifier, VT_SNAPSHOT) &&
            verifier.VerifyTable(snapshot()) &&
            VerifyField<int64_t>(verifier, VT_CONFIRMED_AGE_US, 8) &&
-           verifier.EndTable();
+           VerifyField<uint8_t>(verifier, VT_WATCHED, 1) && verifier.EndTable();
   }
 };
 
@@ -161,6 +163,10 @@
     fbb_.AddElement<int64_t>(SpreadFrame::VT_CONFIRMED_AGE_US, confirmed_age_us,
                              -1LL);
   }
+  void add_watched(bool watched) {
+    fbb_.AddElement<uint8_t>(SpreadFrame::VT_WATCHED,
+                             static_cast<uint8_t>(watched), 0);
+  }
   explicit SpreadFrameBuilder(flatbuffers::FlatBufferBuilder& _fbb)
       : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -180,13 +186,14 @@
         flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket>>>
         tickets = 0,
     flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot = 0,
-    int64_t confirmed_age_us = -1LL) {
+    int64_t confirmed_age_us = -1LL, bool watched = false) {
   SpreadFrameBuilder builder_(_fbb);
   builder_.add_confirmed_age_us(confirmed_age_us);
   builder_.add_number(number);
   builder_.add_sequence(sequence);
   builder_.add_snapshot(snapshot);
   builder_.add_tickets(tickets);
+  builder_.add_watched(watched);
   builder_.add_fresh(fresh);
   builder_.add_number_only(number_only);
   builder_.add_is_answer(is_answer);
@@ -201,7 +208,7 @@
         flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket>>* tickets =
         nullptr,
     flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot = 0,
-    int64_t confirmed_age_us = -1LL) {
+    int64_t confirmed_age_us = -1LL, bool watched = false) {
   auto tickets__ =
       tickets ? _fbb.CreateVector<
                     flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket>>(
@@ -209,7 +216,7 @@
               : 0;
   return dogwoodrail::wire::fbs::CreateSpreadFrame(
       _fbb, sequence, is_answer, number, number_only, fresh, tickets__,
-      snapshot, confirmed_age_us);
+      snapshot, confirmed_age_us, watched);
 }
 
 }  // namespace fbs
--- a/tests/unit/spread/proof_relay_test.cc
+++ b/tests/unit/spread/proof_relay_test.cc
@@ -51,6 +51,16 @@
     }
     BOOST_TEST(late_steps == 0U);
   }
+  // Returns true if every node that the store serves has the number.
+  bool AllServedHave(std::uint64_t number) {
+    for (std::size_t n = 0; n < size(); ++n) {
+      const bool served =
+          !(store_cut && store_cut(n)) && !(store_silent && store_silent(n));
+      if (served && (*this)[n].relay->in_force().value() != number)
+        return false;
+    }
+    return true;
+  }
   void Kill(const std::vector<std::size_t>& nodes) {
     for (const std::size_t n : nodes) RelaySimulation::Kill(n);
   }
@@ -127,6 +137,65 @@
   BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
 }
 
+// Times from the fault to the change.
+constexpr int kFaultLeadsMs[] = {0, 250, 900, 1700, 6000};
+
+struct SmallFleet : RelayFleet {
+  explicit SmallFleet(std::uint64_t seed) : RelayFleet(seed, 17, 4) {}
+
+  // Returns true for the nodes that others may query, and some others.
+  std::function<bool(std::size_t)> RelaysAndSome(std::uint64_t seed) {
+    std::vector<bool> chosen(size());
+    base::Random random(seed);
+    for (std::size_t n = 0; n < size(); ++n) {
+      const bool some = base::RandomUnit(random) < 0.2;
+      chosen[n] = some || (*this)[n].view.is_reader;
+      for (std::size_t it = 0; it < size(); ++it) {
+        const auto& sources = (*this)[it].view.sources;
+        chosen[n] =
+            chosen[n] || std::find(sources.begin(), sources.end(),
+                                   (*this)[n].self.address) != sources.end();
+      }
+    }
+    return [chosen](std::size_t n) { return chosen[n]; };
+  }
+};
+
+// The store refuses the calls of all nodes that relay, and serves others.
+BOOST_DATA_TEST_CASE(change_is_in_force_in_time_though_relays_are_refused,
+                     kRelaySeeds* boost::unit_test::data::make(kFaultLeadsMs),
+                     seed, lead) {
+  SmallFleet fleet(seed);
+  fleet.store_cut = fleet.RelaysAndSome(seed);
+  fleet.Run(std::chrono::milliseconds(lead));
+  fleet.Publish();
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.AllServedHave(2); }, kApplyBound));
+}
+
+// As before, but the calls, also the watches in progress, get no answer.
+BOOST_DATA_TEST_CASE(change_is_in_force_in_time_though_relays_get_no_answer,
+                     kRelaySeeds* boost::unit_test::data::make(kFaultLeadsMs),
+                     seed, lead) {
+  SmallFleet fleet(seed);
+  fleet.store_silent = fleet.RelaysAndSome(seed);
+  fleet.Run(std::chrono::milliseconds(lead));
+  fleet.Publish();
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.AllServedHave(2); }, kApplyBound));
+}
+
+// Every node's watch in progress is lost; later calls are answered.
+BOOST_DATA_TEST_CASE(change_is_in_force_in_time_though_all_watches_are_lost,
+                     kRelaySeeds, seed) {
+  SmallFleet fleet(seed);
+  fleet.store_silent = [](std::size_t) { return true; };
+  fleet.Run(RelaySimulation::kStep);
+  fleet.store_silent = nullptr;
+  fleet.Publish();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHave(2); }, kApplyBound));
+}
+
 // A node that reaches neither the store nor others must stop admitting keys.
 BOOST_DATA_TEST_CASE(withdrawn_key_stops_on_a_node_that_is_cut_off, kRelaySeeds,
                      seed) {
@@ -217,7 +286,7 @@
   const base::TimePoint start{100s};
   const base::TicketNumber number(3);
   relay.Tick({false, {source}}, start);
-  relay.OnStoreResult(config::FollowResult::kRead, config::StoreRevision(1),
+  relay.OnStoreResult(1, config::FollowResult::kRead, config::StoreRevision(1),
                       Snapshot{number, "body"}, start);
   const auto actions = relay.Tick({false, {source}}, start + 10ms);
   BOOST_REQUIRE(actions.queries.size() == 1U);
@@ -243,7 +312,7 @@
   const base::NodeAddress source("a");
   const base::TimePoint start{100s};
   relay.Tick({false, {source}}, start);
-  relay.OnStoreResult(config::FollowResult::kRead, config::StoreRevision(1),
+  relay.OnStoreResult(1, config::FollowResult::kRead, config::StoreRevision(1),
                       Snapshot{base::TicketNumber(3), "body"}, start);
   relay.Tick({false, {source}}, start + 10ms);
   PeerAnswer answer;
--- a/tests/unit/spread/relay_simulation.h
+++ b/tests/unit/spread/relay_simulation.h
@@ -30,6 +30,13 @@
   static constexpr base::Duration kViewInterval =
       std::chrono::milliseconds(500);
 
+  // A call in progress at the store.
+  struct StoreCall {
+    config::FollowCall call;
+    base::TimePoint arrives;
+    bool is_lost = false;
+  };
+
   struct Node {
     std::unique_ptr<ProofRelay> relay;
     member::MemberSelf self;
@@ -40,9 +47,7 @@
     bool reverted = false;       // the number in force decreased
     std::uint64_t admitted = 0;  // number in force at the last step
     std::size_t store_calls = 0;
-    // The call in progress at the store.
-    std::optional<config::FollowCall> call;
-    base::TimePoint call_arrives;
+    std::vector<StoreCall> calls;
   };
 
   RelaySimulation(std::uint64_t seed, std::size_t zones, std::size_t nodes)
@@ -66,7 +71,7 @@
         settings, follow, [](const Snapshot&) { return true; },
         seed_ * 104729 + ++starts_);
     node.gone = false;
-    node.call.reset();
+    node.calls.clear();
     node.view = {};
     node.admitted = 0;
     node.next_view = now_ + RandomTime(kViewInterval);
@@ -153,15 +158,19 @@
   base::Duration member_delay = std::chrono::seconds(3);
   double loss = 0;  // fraction of messages that arrive a retransmission later
   bool store_down = false;
-  // If set, return true for nodes that cannot reach the store, and for pairs of
-  // nodes that cannot reach each other.
+  // If set, return true for nodes whose store calls fail at once, for nodes
+  // whose store calls get no answer until they time out, and for pairs of nodes
+  // that cannot reach each other.
   std::function<bool(std::size_t)> store_cut;
+  std::function<bool(std::size_t)> store_silent;
   std::function<bool(std::size_t, std::size_t)> cut;
 
  private:
   static constexpr base::Duration kPathTime = std::chrono::milliseconds(20);
   static constexpr base::Duration kRetransmission =
       std::chrono::milliseconds(250);
+  // After the wait of a call.
+  static constexpr base::Duration kStoreTimeout = std::chrono::seconds(1);
 
   struct Message {
     base::TimePoint arrives;
@@ -201,7 +210,7 @@
     DeliverMessages();
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
       if (!IsRunning(n)) continue;
-      AnswerStoreCall(n);
+      AnswerStoreCalls(n);
       Tick(n);
     }
   }
@@ -238,8 +247,7 @@
     ++store_calls_;
     ++nodes_[n].store_calls;
     CountCall();
-    nodes_[n].call = actions.store_call;
-    nodes_[n].call_arrives = now_ + kPathTime;
+    nodes_[n].calls.push_back({*actions.store_call, now_ + kPathTime});
   }
 
   void CountCall() {
@@ -282,16 +290,28 @@
     }
   }
 
-  void AnswerStoreCall(std::size_t n) {
-    Node& node = nodes_[n];
-    if (!node.call || now_ < node.call_arrives) return;
-    const bool failed = store_down || (store_cut && store_cut(n));
-    const bool changed =
-        node.call->watch && node.call->after.value() < revision_;
-    const bool over = now_ - node.call_arrives >= node.call->wait;
-    if (!failed && node.call->watch && !changed && !over) return;
+  void AnswerStoreCalls(std::size_t n) {
+    const std::vector<StoreCall> calls = std::move(nodes_[n].calls);
+    nodes_[n].calls.clear();
+    for (StoreCall it : calls) {
+      if (!AnswerStoreCall(n, &it)) nodes_[n].calls.push_back(it);
+    }
+  }
+
+  // Returns false if the call stays in progress.
+  bool AnswerStoreCall(std::size_t n, StoreCall* open) {
+    const config::FollowCall& call = open->call;
+    if (now_ < open->arrives) return false;
+    open->is_lost |= store_silent && store_silent(n);
+    const base::Duration taken = now_ - open->arrives;
+    if (open->is_lost && taken < call.wait + kStoreTimeout) return false;
+    const bool failed =
+        open->is_lost || store_down || (store_cut && store_cut(n));
+    const bool changed = call.watch && call.after.value() < revision_;
+    const bool over = taken >= call.wait;
+    if (!failed && call.watch && !changed && !over) return false;
     config::FollowResult result = config::FollowResult::kRead;
-    if (node.call->watch) {
+    if (call.watch) {
       result = changed ? config::FollowResult::kChanged
                        : config::FollowResult::kUnchanged;
     }
@@ -300,9 +320,10 @@
         !failed && head_ != 0 && result != config::FollowResult::kUnchanged;
     std::optional<Snapshot> snapshot;
     if (has_config) snapshot = Snapshot{base::TicketNumber(head_), "body"};
-    node.call.reset();
-    Execute(n, node.relay->OnStoreResult(
-                   result, config::StoreRevision(revision_), snapshot, now_));
+    Execute(n, nodes_[n].relay->OnStoreResult(call.id, result,
+                                              config::StoreRevision(revision_),
+                                              snapshot, now_));
+    return true;
   }
 
   std::uint64_t seed_;
--- a/tests/unit/wire/spread_codec_test.cc
+++ b/tests/unit/wire/spread_codec_test.cc
@@ -31,6 +31,7 @@
   answer.sequence = 7;
   answer.in_force = TicketNumber(12);
   answer.confirmed_age = std::chrono::milliseconds(1234);
+  answer.watched = true;
   answer.has_snapshot = true;
   answer.snapshot = {TicketNumber(12), "body"};
   const spread::PeerAnswer decoded = RoundTrip(answer);
@@ -38,6 +39,7 @@
   BOOST_TEST(decoded.in_force.value() == 12U);
   BOOST_REQUIRE(decoded.confirmed_age.has_value());
   BOOST_TEST((*decoded.confirmed_age == *answer.confirmed_age));
+  BOOST_TEST(decoded.watched);
   BOOST_TEST(decoded.snapshot.body == "body");
 }
 
