Let only the first thread of a node receive signals

Cause: a signal to the process may be given to any thread that does not block it, also to one that is just ending. The threads of the log, the operator endpoint and the platform calls blocked none.

Change: the handled signals are blocked from the construction of SignalSystem to its Start(), between which all threads are created, and unblocked in the first thread then. Signals that a preloaded library handles are left alone.

--- a/src/node/signal_system.cc
+++ b/src/node/signal_system.cc
@@ -79,23 +79,32 @@
 
 }  // namespace
 
+// A signal is lost if the kernel gives it to a thread that is just ending.
 SignalSystem::SignalSystem(boost::asio::io_context& loop) : signals_(loop) {
+  ::sigemptyset(&handled_);
   for (const SignalSpec& it : kSignals) {
     if (it.action == SignalAction::kIgnore) {
       std::signal(it.number, SIG_IGN);
     } else if (it.action != SignalAction::kReport ||
                HasDefaultAction(it.number)) {
-      signals_.add(it.number);
+      Add(it.number);
     }
   }
   for (int it = SIGRTMIN; it <= SIGRTMAX; ++it) {
-    if (HasDefaultAction(it)) signals_.add(it);
+    if (HasDefaultAction(it)) Add(it);
   }
+  ::pthread_sigmask(SIG_BLOCK, &handled_, nullptr);
+}
+
+void SignalSystem::Add(int number) {
+  signals_.add(number);
+  ::sigaddset(&handled_, number);
 }
 
 void SignalSystem::Start(SignalHooks hooks) {
   hooks_ = std::move(hooks);
   Wait();
+  ::pthread_sigmask(SIG_UNBLOCK, &handled_, nullptr);
 }
 
 void SignalSystem::Wait() {
--- a/src/node/signal_system.h
+++ b/src/node/signal_system.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <csignal>
 #include <functional>
 #include <string>
 
@@ -22,8 +23,9 @@
 };
 
 // Owns the signals of the process: all that come from outside and would end it.
-// The handlers are in place from construction on; signals received before
-// Start() are handled when the loop runs.
+// The handlers are in place from construction on. Until Start() the signals are
+// blocked: they stay pending, and threads created meanwhile inherit that, so
+// that only the thread that constructs and starts the system receives them.
 class SignalSystem {
  public:
   // The loop must outlive the system.
@@ -35,12 +37,15 @@
   void Start(SignalHooks hooks);
 
  private:
+  // Adds a signal to those that are handled.
+  void Add(int number);
   void Wait();
   void OnSignal(int number);
   // Returns what the signal did.
   std::string Act(int number);
 
   boost::asio::signal_set signals_;
+  sigset_t handled_;
   SignalHooks hooks_;
 };
 
--- a/tests/integration/common/process.h
+++ b/tests/integration/common/process.h
@@ -22,6 +22,7 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  pid_t pid() const { return pid_; }
   // Sends a signal.
   void SendSignal(int signal) const;
   // Sends SIGKILL and waits for the process to exit.
--- a/tests/integration/operator/signal_test.cc
+++ b/tests/integration/operator/signal_test.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -156,6 +157,19 @@
   return node;
 }
 
+// Returns the set of signals that a thread blocks, a bit each, from its status
+// file in /proc.
+std::uint64_t ReadBlockedSignals(const std::filesystem::path& status) {
+  constexpr std::string_view kField = "SigBlk:";
+  std::ifstream in(status);
+  for (std::string it; std::getline(in, it);) {
+    if (it.rfind(kField, 0) != 0) continue;
+    return std::stoull(it.substr(kField.size()), nullptr, 16);
+  }
+  BOOST_FAIL("no " << kField << " in " << status);
+  return 0;
+}
+
 // Returns the number of lines of the file that contain the text.
 std::size_t CountLines(const std::string& file, const std::string& text) {
   std::ifstream in(file);
@@ -405,6 +419,29 @@
   BOOST_TEST(vm.node().WaitExit(kExitTimeout).value_or(-1) == 0);
 }
 
+// A signal that the kernel gives to another thread may be lost with it.
+BOOST_AUTO_TEST_CASE(only_the_first_thread_receives_signals) {
+  const std::string directory = MakeTestDirectory("signal_threads");
+  const auto node = StartHosted(directory, directory + "/node.log");
+  BOOST_REQUIRE(WaitUntil(kStartTimeout, [&] {
+    return CountLines(directory + "/node.log", "platform_lost") > 0;
+  }));
+  const std::string process = "/proc/" + std::to_string(node->pid());
+  std::size_t others = 0;
+  for (const auto& it :
+       std::filesystem::directory_iterator(process + "/task")) {
+    const bool is_first = it.path().filename() == std::to_string(node->pid());
+    if (!is_first) ++others;
+    const std::uint64_t blocked = ReadBlockedSignals(it.path() / "status");
+    for (const int number : {SIGTERM, SIGHUP, SIGVTALRM, SIGRTMIN}) {
+      const bool is_blocked = ((blocked >> (number - 1U)) & 1U) != 0;
+      BOOST_TEST(is_blocked == !is_first,
+                 "thread " << it.path().filename() << " signal " << number);
+    }
+  }
+  BOOST_TEST(others > 1U);
+}
+
 BOOST_AUTO_TEST_CASE(signals_without_a_meaning_do_not_end_the_process) {
   for (const auto& it : ReportedSignals()) {
     const std::string directory = MakeTestDirectory("signal_" + it.name);
