Take a route's backpressure from its answers, not from all its endpoints

Cause: a node took the mean share over all ready endpoints of a route and counted each that had not answered lately as free. At 95 nodes an entry sends lists to the five or so instances of its zone, of 27, and hears each about once a second: at most a fifth of the fleet could speak, and each share also recovered by 0.2 a second and was averaged by 0.2 an answer. With a dozen machines all endpoints answer often, so it never showed.

Change: the mean is over the recent answers (half-life 0.7 s), each endpoint by its last one. Shares recover once no endpoint of the route has answered for 0.5 s, by 1 a second. The budget factor of a bottleneck recovers by 0.03 a step, was 0.01, for after the first second of an overload it held the share too low.

--- a/src/core/chain/chain_control.cc
+++ b/src/core/chain/chain_control.cc
@@ -61,6 +61,7 @@
   if (now - decayed_at_ < kDecayInterval) return;
   decayed_at_ = now;
   graph_.DecayEvidence();
+  backpressures_.Tick(now);
 }
 
 }  // namespace dogwoodrail::core::chain
--- a/src/core/chain/chain_control.h
+++ b/src/core/chain/chain_control.h
@@ -25,12 +25,10 @@
   // Updates the load of this node's own backend server.
   void OnLoad(const base::ServiceName& service, const LoadSample& sample,
               base::TimePoint now);
-  // Updates the backpressure of a route from an answer of one of its
-  // `endpoint_count` endpoints.
+  // Updates the backpressure of a route from an answer of one of its endpoints.
   void OnAnswer(const base::RouteName& route, const base::NodeAddress& endpoint,
-                std::size_t endpoint_count, const Backpressure& backpressure,
-                base::TimePoint now) {
-    backpressures_.OnAnswer(route, endpoint, endpoint_count, backpressure, now);
+                const Backpressure& backpressure, base::TimePoint now) {
+    backpressures_.OnAnswer(route, endpoint, backpressure, now);
   }
   // Returns the backpressure to send with answers of this node's backend server
   // on a route.
--- a/src/core/chain/load_control.cc
+++ b/src/core/chain/load_control.cc
@@ -16,7 +16,7 @@
 // Largest relative decrease of the budget factor in a step with failed calls,
 // and its increase in a step without.
 constexpr double kMaxBudgetCut = 0.1;
-constexpr double kBudgetGrowth = 0.01;
+constexpr double kBudgetGrowth = 0.03;
 constexpr double kMinBudgetFactor = 0.1;
 // Demand in calls per second below which an importance is ignored.
 constexpr double kMinDemand = 0.01;
--- a/src/node/node_ports.cc
+++ b/src/node/node_ports.cc
@@ -111,8 +111,7 @@
   ports.on_backpressure = [this](const EntryCall& call,
                                  const core::chain::Backpressure& backpressure,
                                  TimePoint now) {
-    chain_.OnAnswer(call.route.name, call.attempt->to,
-                    chooser_.ReadyCount(call.service), backpressure, now);
+    chain_.OnAnswer(call.route.name, call.attempt->to, backpressure, now);
   };
 }
 
--- a/tests/unit/chain/control_test.cc
+++ b/tests/unit/chain/control_test.cc
@@ -171,21 +171,41 @@
   BOOST_TEST(gate.Decide(request, backpressure).admitted);
 }
 
-// An overloaded endpoint must not cause refusals while others have capacity.
-BOOST_AUTO_TEST_CASE(backpressure_is_the_mean_over_the_endpoints) {
+// An overloaded endpoint must not cause refusals while others have capacity: it
+// counts by the answers that come from it.
+BOOST_AUTO_TEST_CASE(backpressure_is_the_mean_over_the_answers) {
   BackpressureMap map;
   const base::RouteName route("grade");
   Backpressure backpressure;
   backpressure.bottleneck = ServiceHash(5);
   backpressure.admit = {0.1, 0.1, 0.1, 0.1};
-  map.OnAnswer(route, base::NodeAddress("a"), 3, backpressure, At(seconds(1)));
-  map.OnAnswer(route, base::NodeAddress("b"), 3, Backpressure(),
-               At(seconds(1)));
-  BOOST_TEST(map.Find(route, At(seconds(1))).admit[0] == 0.7,
+  const base::TimePoint now = At(seconds(1));
+  map.OnAnswer(route, base::NodeAddress("a"), backpressure, now);
+  map.OnAnswer(route, base::NodeAddress("b"), Backpressure(), now);
+  map.OnAnswer(route, base::NodeAddress("b"), Backpressure(), now);
+  BOOST_TEST(map.Find(route, now).admit[0] == 0.7,
              boost::test_tools::tolerance(1e-6));
+  BOOST_TEST(map.Find(route, now).bottleneck.value() == 5U);
   BOOST_TEST(map.Find(route, At(seconds(9))).AdmitsAll());
 }
 
+// An endpoint that gets no calls says nothing of those that do.
+BOOST_AUTO_TEST_CASE(old_answers_count_less_and_are_forgotten) {
+  BackpressureMap map;
+  const base::RouteName route("grade");
+  Backpressure backpressure;
+  backpressure.bottleneck = ServiceHash(5);
+  backpressure.admit = {0.1, 0.1, 0.1, 0.1};
+  map.OnAnswer(route, base::NodeAddress("a"), Backpressure(), At(seconds(1)));
+  map.OnAnswer(route, base::NodeAddress("b"), backpressure, At(seconds(4)));
+  BOOST_TEST(map.Find(route, At(seconds(4))).admit[0] < 0.25);
+  BOOST_TEST(map.size() == 2U);
+  map.Tick(At(seconds(6)));
+  BOOST_TEST(map.size() == 1U);
+  map.Tick(At(seconds(60)));
+  BOOST_TEST(map.size() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace dogwoodrail::core::chain
