--- a/src/core/chain/backpressure_map.cc
+++ b/src/core/chain/backpressure_map.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 
 namespace dogwoodrail::core::chain {
 namespace {
--- a/src/core/route/endpoint_chooser.cc
+++ b/src/core/route/endpoint_chooser.cc
@@ -159,15 +159,6 @@
          !table.ejected().empty();
 }
 
-std::size_t EndpointChooser::ReadyCount(
-    const base::ServiceName& service) const {
-  const auto it = services_.find(service);
-  if (it == services_.end()) return 0;
-  const EndpointTable& table = it->second.endpoints;
-  return table.own_zone().size() + table.other_zones().size() +
-         table.ejected().size();
-}
-
 std::vector<EndpointSnapshot> EndpointChooser::Snapshot() const {
   std::vector<EndpointSnapshot> rows;
   for (const auto& [name, service] : services_) {
--- a/src/core/route/endpoint_chooser.h
+++ b/src/core/route/endpoint_chooser.h
@@ -40,8 +40,6 @@
 
   // Returns true if the service has an endpoint that is ready.
   bool HasReady(const base::ServiceName& service) const;
-  // Number of ready endpoints of the service, including ejected ones.
-  std::size_t ReadyCount(const base::ServiceName& service) const;
   // Returns the state of all endpoints.
   std::vector<EndpointSnapshot> Snapshot() const;
 
--- a/src/core/spread/spread_type.h
+++ b/src/core/spread/spread_type.h
@@ -121,15 +121,15 @@
   base::Duration exclusion_time = std::chrono::seconds(5);
   // A node asks the platform itself if no source has answered for this long.
   base::Duration max_silence = std::chrono::milliseconds(1300);
-  // It also watches the platform while no source knows of a working watch, and
-  // asks if the last confirmation is older than this. Less than the
+  // It also does if the last confirmation is older than this. Less than the
   // time for which a confirmation is valid, so that a confirmation from the
   // platform arrives before.
   base::Duration max_age = std::chrono::milliseconds(2600);
   // It also does if a higher number was announced and its configuration has not
   // arrived for this long.
   base::Duration max_lag = std::chrono::milliseconds(500);
-  // Random delay of each of these, so that nodes do not ask all at once.
+  // Random delay of each of these, and of the watch of a node whose sources
+  // know of no working watch, so that nodes do not ask all at once.
   base::Duration jitter = std::chrono::milliseconds(200);
   // A node that queried within this time is told of changes.
   base::Duration subscription_time = std::chrono::seconds(3);
--- a/tests/unit/chain/fleet_test.cc
+++ b/tests/unit/chain/fleet_test.cc
@@ -214,9 +214,8 @@
   return out << size.entries << " entries";
 }
 
-const std::vector<FleetSize> kFleetSizes = {
-    {12, 5, 3}, {95, 27, 7}, {1000, 284, 74}};
-const std::vector<double> kLoads = {1.7, 5};
+constexpr FleetSize kFleetSizes[] = {{12, 5, 3}, {95, 27, 7}, {1000, 284, 74}};
+constexpr double kLoads[] = {1.7, 5};
 
 }  // namespace
 
--- a/tests/unit/spread/proof_relay_test.cc
+++ b/tests/unit/spread/proof_relay_test.cc
@@ -56,8 +56,8 @@
     for (std::size_t n = 0; n < size(); ++n) {
       const bool served =
           !(store_cut && store_cut(n)) && !(store_silent && store_silent(n));
-      if (served && (*this)[n].relay->in_force().value() != number)
-        return false;
+      const bool has = (*this)[n].relay->in_force().value() == number;
+      if (served && !has) return false;
     }
     return true;
   }
