Review: records of the kept clients name each answer

Cause: the records of cases 2 and 3 held the runs, but not what the clients got.

Done: KeptCallers writes each attempt with its answer.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -55,7 +55,7 @@
   if (!fleet.Start(config, attempt)) {
     Finish(&fleet, &record, 2, "the fleet did not start");
   }
-  KeptCallers callers(&fleet, 0, attempt, kCallers);
+  KeptCallers callers(&fleet, 0, attempt, kCallers, &record);
   callers.Start();
   SleepMs(2000);
   if (HasTrouble()) SendOddHeartbeat(fleet.node(0).machine(), &record);
@@ -63,7 +63,7 @@
   const std::int64_t end = NowMs() + 2000;
   while (NowMs() < end && !fleet.node(0).HasEnded(&how)) SleepMs(10);
   callers.Stop();
-  const int lost = callers.CountLost(&record);
+  const int lost = callers.CountLost();
   Finish(&fleet, &record, lost > kAllowed ? 1 : 0,
          "LOST: " + std::to_string(lost) +
              " requests passed on and closed without an answer (allowed " +
--- a/review/common/kept_callers.cc
+++ b/review/common/kept_callers.cc
@@ -6,11 +6,12 @@
 namespace dogwoodrail::review {
 
 KeptCallers::KeptCallers(Fleet* fleet, std::size_t machine, Attempt attempt,
-                         int count)
+                         int count, Record* record)
     : fleet_(*fleet),
       machine_(machine),
       attempt_(std::move(attempt)),
-      count_(count) {}
+      count_(count),
+      record_(record) {}
 
 void KeptCallers::Start() {
   for (int it = 0; it < count_; ++it) {
@@ -34,6 +35,10 @@
     const bool was_kept = kept >= 0;
     const Answer answer = Send(ip, attempt, &kept);
     if (answer.status == 200) ++served_;
+    record_->WriteRequest("attempt " + attempt.id +
+                          " sent=" + std::to_string(answer.sent_ms) +
+                          (was_kept ? " kept" : " new") +
+                          " answered=" + std::to_string(answer.status));
     if (was_kept && answer.end == ReadEnd::kClosed) {
       const std::lock_guard<std::mutex> lock(mutex_);
       closed_.push_back({attempt.id, answer.sent_ms, answer.ended_ms});
@@ -42,7 +47,7 @@
   }
 }
 
-int KeptCallers::CountLost(Record* record) {
+int KeptCallers::CountLost() {
   std::map<std::string, Run> runs;
   for (const Run& it : fleet_.AllRuns()) runs[it.attempt_id] = it;
   int lost = 0;
@@ -51,10 +56,10 @@
     const auto run = runs.find(it.id);
     if (run == runs.end()) continue;
     ++lost;
-    record->Write("lost id=" + it.id + " sent=" + std::to_string(it.sent_ms) +
-                  " run=" + std::to_string(run->second.began_ms) + " at " +
-                  run->second.instance + ", closed=" +
-                  std::to_string(it.closed_ms) + " without an answer");
+    record_->Write("lost id=" + it.id + " sent=" + std::to_string(it.sent_ms) +
+                   " run=" + std::to_string(run->second.began_ms) + " at " +
+                   run->second.instance + ", closed=" +
+                   std::to_string(it.closed_ms) + " without an answer");
   }
   return lost;
 }
--- a/review/common/kept_callers.h
+++ b/review/common/kept_callers.h
@@ -16,7 +16,8 @@
 class KeptCallers {
  public:
   // `attempt` is repeated with an id of its own each time.
-  KeptCallers(Fleet* fleet, std::size_t machine, Attempt attempt, int count);
+  KeptCallers(Fleet* fleet, std::size_t machine, Attempt attempt, int count,
+              Record* record);
 
   void Start();
   // Waits until each client has its last answer.
@@ -24,7 +25,7 @@
   // The rule LOST, "at any time": counts the requests that were sent on a kept
   // connection, that an instance ran, and whose connection was closed without
   // an answer before the client's deadline. Writes each of them to the record.
-  int CountLost(Record* record);
+  int CountLost();
   // Number of requests that got a success.
   int served() const { return served_; }
 
@@ -41,6 +42,7 @@
   std::size_t machine_;
   Attempt attempt_;
   int count_;
+  Record* record_;
   std::atomic<bool> stop_{false};
   std::atomic<int> served_{0};
   std::mutex mutex_;
