An input that cannot be read ends no request but its own

Cause: the id was taken from the path unchecked, and a JSON text that is not UTF-8 cannot be written: dump() threw in the write of the drain mark to the store. Nothing caught an exception before the end of the event loop, which all requests share.

Change: ids are decoded once at the boundary; what names no instance changes nothing (507). Bodies for the store are written without exceptions. A barrier confines an exception to the request, call, frame or part of a tick that threw it, as event 915 and a counter. On related paths: TRACE with a body is refused (400), a header field above what the HTTP library takes is 431 (or 502 for an instance's), a response that cannot be written is replaced by a 502.

Two tests asked for the old behaviour. process_end/exception required that an exception end the process; two tests in its place require that the loop and the ticks go on and that each exception is reported. With that, no stop ends by an error: StopEnd::kError and CloseCause::kProcessError are gone, and the case of close_leaves_a_request_unanswered that used the latter uses kShutdown.

--- a/src/core/base/event_table.cc
+++ b/src/core/base/event_table.cc
@@ -59,6 +59,7 @@
       {EventNumber::kSettingsRefused, "settings_refused", EventLevel::kError, "the settings file is invalid or missing; the settings in use are kept"},
       {EventNumber::kSettingsUnchanged, "settings_unchanged", EventLevel::kInfo, "SIGHUP was received and the settings file changes nothing"},
       {EventNumber::kSettingsChecked, "settings_checked", EventLevel::kDebug, "the settings file was written and changes nothing"},
+      {EventNumber::kHandlerFailed, "handler_failed", EventLevel::kError, "an unforeseen exception ended one piece of work, named in the detail; the node runs on"},
   };
   // clang-format on
   return table;
--- a/src/core/base/event_type.h
+++ b/src/core/base/event_type.h
@@ -68,6 +68,7 @@
   kSettingsRefused = 912,
   kSettingsUnchanged = 913,
   kSettingsChecked = 914,
+  kHandlerFailed = 915,
 };
 
 // One event as reported by the core. The node adds wall time, address and
--- a/src/core/stop/stop_type.cc
+++ b/src/core/stop/stop_type.cc
@@ -22,8 +22,6 @@
       return "finished";
     case StopEnd::kDeadline:
       return "deadline";
-    case StopEnd::kError:
-      return "error";
   }
   return "";
 }
--- a/src/core/stop/stop_type.h
+++ b/src/core/stop/stop_type.h
@@ -18,7 +18,6 @@
   kLoopEnded,  // the event loop ended without a shutdown
   kFinished,   // nothing was owed anymore
   kDeadline,   // the deadline of the shutdown passed
-  kError,      // an exception
 };
 
 // Returns the cause as it is logged.
--- a/src/http/backend_connection.cc
+++ b/src/http/backend_connection.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "core/base/reason_table.h"
@@ -28,36 +29,6 @@
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kSwitchingProtocols = 101;
 
-// Builds the HTTP message for the backend server; moves the body out of the
-// request.
-beast::http::request<beast::http::string_body> ToMessage(
-    Request& request, const asio::ip::tcp::endpoint& address) {
-  beast::http::request<beast::http::string_body> message;
-  message.version(11);
-  message.method_string(request.method);
-  message.target(request.target);
-  for (const Header& it : request.headers) message.insert(it.name, it.value);
-  if (message.find(field::host) == message.end()) {
-    message.set(field::host, address.address().to_string() + ":" +
-                                 std::to_string(address.port()));
-  }
-  message.body() = std::move(request.body);
-  message.prepare_payload();
-  return message;
-}
-
-// Converts a complete Beast message to a Response.
-Response ToResponse(beast::http::response<beast::http::string_body>&& message) {
-  Response response;
-  response.status = static_cast<int>(message.result_int());
-  for (const auto& it : message) {
-    response.headers.push_back(
-        Header{it.name_string().to_string(), it.value().to_string()});
-  }
-  response.body = std::move(message.body());
-  return response;
-}
-
 // Classifies a response by its Dogwood-Ran header. A refusal of an earlier
 // request may arrive once more in place of the expected response, so that it
 // proves something only of the request whose context it names.
@@ -97,11 +68,14 @@
   id_ = id;
   callback_ = std::move(callback);
   request_ = std::move(request);
-  message_ = ToMessage(request_, address_);
   deadline_ = Clock::now() + timeout;
   write_started_ = false;
   keep_alive_ = false;
   skipped_responses_ = 0;
+  auto message = EncodeRequest(request_, address_.address().to_string() + ":" +
+                                             std::to_string(address_.port()));
+  if (!message) return RejectRequest(message.error().detail);
+  message_ = std::move(*message);
   if (connected_) {
     Write();
   } else {
@@ -109,6 +83,13 @@
   }
 }
 
+// Fails after Execute() has returned, as every execution ends.
+void BackendClient::Connection::RejectRequest(const std::string& detail) {
+  asio::post(client_.loop_, [self = shared_from_this(), detail] {
+    if (self->callback_) self->Fail(Reason::kInternal, detail);
+  });
+}
+
 void BackendClient::Connection::Connect() {
   stream_.expires_after(client_.settings_.connect_timeout);
   stream_.async_connect(address_, [self = shared_from_this()](
@@ -178,7 +159,7 @@
 // but not to the bytes that frame it.
 void BackendClient::Connection::Parse() {
   error_code ec;
-  const std::size_t n = parser_->put(buffer_.data(), ec);
+  const std::size_t n = ParseBytes(*parser_, buffer_.data(), ec);
   buffer_.consume(n);
   CountBytes(n);
   if (ec && ec != beast::http::error::need_more) {
@@ -233,7 +214,7 @@
     return Fail(Reason::kBackendServerFailed, "answer without a length");
   }
   keep_alive_ = parser_->keep_alive() && !parser_->need_eof();
-  HandleResponse(ToResponse(parser_->release()));
+  HandleResponse(DecodeResponse(parser_->release()));
 }
 
 void BackendClient::Connection::SkipResponse() {
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "http/backend_client.h"
+#include "http/beast_codec.h"
 
 namespace dogwoodrail::http {
 
@@ -35,10 +36,10 @@
 
  private:
   using Clock = std::chrono::steady_clock;
-  using Message = boost::beast::http::request<boost::beast::http::string_body>;
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  void RejectRequest(const std::string& detail);
   void Connect();
   void Write();
   void ReadResponse();
@@ -65,7 +66,7 @@
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   Request request_;  // without the body, which is moved to message_
-  Message message_;
+  BeastRequest message_;
   std::optional<Parser> parser_;
   ExecutionId id_;
   Callback callback_;
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -31,6 +31,7 @@
 // Limits for what a caller sends after the last response of its connection.
 constexpr std::chrono::milliseconds kLingerTimeout(1000);
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} * 1024 * 1024;
+constexpr int kInternalError = 500;
 
 // Maps a read or parse error to a reason; kNone if the connection ended without
 // a malformed message.
@@ -55,19 +56,6 @@
   return known ? static_cast<std::size_t>(n) : 0;
 }
 
-// Converts a parsed Beast message to a Request.
-Request ToRequest(beast::http::request<beast::http::string_body>&& message) {
-  Request request;
-  request.method = message.method_string().to_string();
-  request.target = message.target().to_string();
-  for (const auto& it : message) {
-    request.headers.push_back(
-        Header{it.name_string().to_string(), it.value().to_string()});
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
 }  // namespace
 
 CallerServer::Session::Session(CallerServer& server,
@@ -153,7 +141,7 @@
 // Parses what has been read; the parser takes the header alone at first.
 void CallerServer::Session::Parse() {
   error_code ec;
-  buffer_.consume(parser_->put(buffer_.data(), ec));
+  buffer_.consume(ParseBytes(*parser_, buffer_.data(), ec));
   const bool more = ec == beast::http::error::need_more ||
                     (!ec && phase_ == Phase::kBody && !parser_->is_done());
   if (!more) return OnParsed(ec);
@@ -221,9 +209,20 @@
     if (reason == Reason::kNone) return Finish(CauseOfReadError(ec, true));
     return AnswerMalformed(reason, ec.message(), CloseCause::kRefused);
   }
+  if (IsTraceWithBody()) {
+    return AnswerMalformed(Reason::kBadRequest, "TRACE with a body",
+                           CloseCause::kRefused);
+  }
   Dispatch();
 }
 
+// HTTP forbids it, so that it cannot be passed on.
+bool CallerServer::Session::IsTraceWithBody() const {
+  const auto& message = parser_->get();
+  return message.method() == beast::http::verb::trace &&
+         !message.body().empty();
+}
+
 void CallerServer::Session::Dispatch() {
   StopTimer();
   phase_ = Phase::kExchange;
@@ -242,7 +241,33 @@
   server_.exchanges_[exchange_] = this;
   const ExchangeId exchange = exchange_;
   WatchForDisconnect();
-  server_.hooks_.on_request(exchange, ToRequest(parser_->release()));
+  Request request = DecodeRequest(parser_->release());
+  try {
+    server_.hooks_.on_request(exchange, std::move(request));
+  } catch (const std::exception& ex) {
+    OnFailed(ex.what());
+  }
+}
+
+// The request may have been passed on or even answered before it failed.
+void CallerServer::Session::OnFailed(const std::string& cause) {
+  const bool is_answered = finished_ || phase_ != Phase::kExchange;
+  server_.exchanges_.erase(exchange_);
+  exchange_open_ = false;
+  Response response = MakeFailure(cause);
+  if (is_answered) return;
+  error_code ec;
+  stream_.socket().cancel(ec);
+  Write(std::move(response), false, CloseCause::kResponseSent);
+}
+
+Response CallerServer::Session::MakeFailure(const std::string& cause) {
+  if (server_.hooks_.on_failed) {
+    return server_.hooks_.on_failed(exchange_, cause);
+  }
+  Response response;
+  response.status = kInternalError;
+  return response;
 }
 
 // Nothing is read while a request is in progress, so a disconnect is detected
@@ -293,16 +318,14 @@
 
 void CallerServer::Session::Write(Response response, bool keep_alive,
                                   CloseCause cause) {
-  close_after_write_ = cause;
-  response_.emplace();
-  response_->version(11);
-  response_->result(static_cast<unsigned>(response.status));
-  for (const Header& it : response.headers) {
-    response_->insert(it.name, it.value);
+  auto message = EncodeResponse(std::move(response), keep_alive);
+  if (!message) {
+    keep_alive = false;
+    message = EncodeResponse(MakeFailure(message.error().detail), keep_alive);
   }
-  response_->body() = std::move(response.body);
-  response_->keep_alive(keep_alive);
-  response_->prepare_payload();
+  if (!message) return Finish(CloseCause::kWriteError);
+  close_after_write_ = cause;
+  response_.emplace(std::move(*message));
   StopTimer();
   phase_ = Phase::kWrite;
   stream_.expires_after(server_.settings_.write_timeout);
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include "http/beast_codec.h"
 #include "http/caller_server.h"
 
 namespace dogwoodrail::http {
@@ -62,7 +63,11 @@
   void OnHeader(const boost::system::error_code& ec);
   void ReadBody();
   void OnBody(const boost::system::error_code& ec);
+  bool IsTraceWithBody() const;
   void Dispatch();
+  // Ends an exchange that cannot be served because of an unforeseen exception.
+  void OnFailed(const std::string& cause);
+  Response MakeFailure(const std::string& cause);
   void WatchForDisconnect();
   // Returns how the caller has ended the connection, or nullopt if it has not
   // or if more bytes are to be read first.
@@ -93,8 +98,7 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
   std::optional<Parser> parser_;
-  std::optional<boost::beast::http::response<boost::beast::http::string_body>>
-      response_;
+  std::optional<BeastResponse> response_;
   boost::asio::steady_timer timer_;
   std::uint64_t timer_number_ = 0;  // of the last timer started or stopped
   ExchangeId exchange_;
--- a/src/http/close_table.cc
+++ b/src/http/close_table.cc
@@ -17,7 +17,6 @@
       {CloseCause::kCallerReset, "caller_reset", true, "the caller reset the connection"},
       {CloseCause::kShutdown, "shutdown", false, "the connection was idle in a graceful shutdown"},
       {CloseCause::kStopDeadline, "stop_deadline", false, "the deadline of the shutdown passed"},
-      {CloseCause::kProcessError, "process_error", false, "an error ended the process"},
       {CloseCause::kServerClosed, "server_closed", false, "the listener and its connections were closed"},
   }};
   // clang-format on
--- a/src/http/close_type.h
+++ b/src/http/close_type.h
@@ -27,7 +27,6 @@
   kCallerReset,
   kShutdown,
   kStopDeadline,
-  kProcessError,
   kServerClosed,
   kCount,
 };
--- a/src/node/close_event.cc
+++ b/src/node/close_event.cc
@@ -26,8 +26,6 @@
   switch (end) {
     case StopEnd::kDeadline:
       return CloseCause::kStopDeadline;
-    case StopEnd::kError:
-      return CloseCause::kProcessError;
     case StopEnd::kLoopEnded:
     case StopEnd::kFinished:
       return CloseCause::kServerClosed;
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -29,6 +29,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 // Longest delay of an acknowledgement until the drain mark is written to the
 // store.
@@ -114,6 +115,10 @@
     hooks.on_malformed = [](core::base::Reason, const std::string& detail) {
       return MakeTextResponse(kBadRequest, "text/plain", detail + "\n");
     };
+    hooks.on_failed = [this](http::ExchangeId, const std::string& cause) {
+      node_->barrier().Report("platform_request", cause);
+      return MakeTextResponse(kInternalError, "text/plain", "");
+    };
     return std::make_unique<http::CallerServer>(
         loop_, http::CallerServerSettings(), std::move(hooks));
   }
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -99,6 +99,7 @@
            core::base::EventSink emit, Dialect dialect)
     : settings_(std::move(settings)),
       emit_(std::move(emit)),
+      barrier_(emit_),
       dialect_(std::move(dialect)),
       self_(settings_.identity.peer_address),
       self_peer_(MakeSelfPeer(settings_)),
@@ -139,6 +140,11 @@
         });
   }
   suspended_total_ = SuspendedTime();
+  metrics_.AddSource([this](std::ostream& out) {
+    WriteMetric(out, "dogwoodrail_handler_failures_total", "counter",
+                "Pieces of work that an unforeseen exception ended.",
+                barrier_.failures());
+  });
 }
 
 wire::TrafficScope Node::ScopeOf(const NodeAddress& address) const {
@@ -168,20 +174,16 @@
 
 void Node::Run() {
   emit_({EventNumber::kNodeStarted, {}, {}, "address=" + self_.value()});
-  try {
-    Tick();
-    loop_.run();
-  } catch (const std::exception& ex) {
-    stop_end_ = core::stop::StopEnd::kError;
-    ReportEnd(ex.what());
-    throw;
+  Tick();
+  while (!loop_.stopped()) {
+    barrier_.Run("event_loop", [this] { loop_.run(); });
   }
-  ReportEnd("");
+  ReportEnd();
 }
 
 // The connections are closed here so that each request that is still owed is
 // reported with its id.
-void Node::ReportEnd(const std::string& error) {
+void Node::ReportEnd() {
   const core::stop::RemainingWork owed = Remaining();
   caller_server_.Close(CloseCauseOf(stop_end_));
   std::string detail = "address=" + self_.value() + " cause=" +
@@ -190,7 +192,6 @@
                        " executions=" + std::to_string(owed.executions) +
                        " connections=" + std::to_string(owed.connections) +
                        " ended=" + std::to_string(ended_requests_);
-  if (!error.empty()) detail += " error=" + error;
   emit_({EventNumber::kNodeStopped, {}, {}, std::move(detail)});
 }
 
@@ -281,46 +282,60 @@
   emit_({EventNumber::kAdmittedShareChanged, {}, {}, std::move(detail)});
 }
 
+void Node::SetFrameHandler(wire::FrameKind kind, const char* name,
+                           wire::Links::FrameHandler handler) {
+  links_.SetHandler(kind, [this, name, handler = std::move(handler)](
+                              wire::LinkId from, const wire::Bytes& bytes) {
+    barrier_.Run(name, [&] { handler(from, bytes); });
+  });
+}
+
 void Node::SetLinkHandlers() {
   using wire::Bytes;
   using wire::FrameKind;
   using wire::LinkId;
-  links_.SetHandler(FrameKind::kCall, [this](LinkId from, const Bytes& bytes) {
-    auto call = wire::DecodeCall(bytes);
-    if (!call) return links_.Refuse(from, call.error().detail);
-    ReceiveCall(from, std::move(*call));
-  });
-  links_.SetHandler(FrameKind::kAnswer,
-                    [this](LinkId from, const Bytes& bytes) {
-                      auto answer = wire::DecodeAnswer(bytes);
-                      if (!answer) {
-                        return links_.Refuse(from, answer.error().detail);
-                      }
-                      entry_.OnAnswer(from, std::move(*answer), Now());
-                    });
-  links_.SetHandler(FrameKind::kCancel,
-                    [this](LinkId from, const Bytes& bytes) {
-                      const auto call = wire::DecodeCancel(bytes);
-                      if (!call) {
-                        return links_.Refuse(from, call.error().detail);
-                      }
-                      CancelReceived(from, *call);
-                    });
-  links_.SetHandler(FrameKind::kShard, [this](LinkId from, const Bytes& bytes) {
-    shards_.OnFrame(from, bytes, Now());
-  });
-  links_.SetHandler(FrameKind::kRate, [this](LinkId from, const Bytes& bytes) {
-    rates_.OnFrame(from, bytes, Now());
-  });
-  links_.SetHandler(FrameKind::kOnce, [this](LinkId from, const Bytes& bytes) {
-    once_.OnFrame(from, bytes, Now());
-  });
+  SetFrameHandler(FrameKind::kCall, "call_frame",
+                  [this](LinkId from, const Bytes& bytes) {
+                    auto call = wire::DecodeCall(bytes);
+                    if (!call) return links_.Refuse(from, call.error().detail);
+                    ReceiveCall(from, std::move(*call));
+                  });
+  SetFrameHandler(FrameKind::kAnswer, "answer_frame",
+                  [this](LinkId from, const Bytes& bytes) {
+                    auto answer = wire::DecodeAnswer(bytes);
+                    if (!answer) {
+                      return links_.Refuse(from, answer.error().detail);
+                    }
+                    entry_.OnAnswer(from, std::move(*answer), Now());
+                  });
+  SetFrameHandler(FrameKind::kCancel, "cancel_frame",
+                  [this](LinkId from, const Bytes& bytes) {
+                    const auto call = wire::DecodeCancel(bytes);
+                    if (!call) {
+                      return links_.Refuse(from, call.error().detail);
+                    }
+                    CancelReceived(from, *call);
+                  });
+  SetFrameHandler(FrameKind::kShard, "shard_frame",
+                  [this](LinkId from, const Bytes& bytes) {
+                    shards_.OnFrame(from, bytes, Now());
+                  });
+  SetFrameHandler(FrameKind::kRate, "rate_frame",
+                  [this](LinkId from, const Bytes& bytes) {
+                    rates_.OnFrame(from, bytes, Now());
+                  });
+  SetFrameHandler(FrameKind::kOnce, "once_frame",
+                  [this](LinkId from, const Bytes& bytes) {
+                    once_.OnFrame(from, bytes, Now());
+                  });
   datagrams_.SetHandler(
       [this](const NodeAddress& from, const wire::Frame& frame) {
-        if (frame.kind == FrameKind::kPoison) {
-          return poison_.OnDatagram(from, frame.payload, Now());
-        }
-        members_.OnDatagram(from, frame, Now());
+        barrier_.Run("datagram", [&] {
+          if (frame.kind == FrameKind::kPoison) {
+            return poison_.OnDatagram(from, frame.payload, Now());
+          }
+          members_.OnDatagram(from, frame, Now());
+        });
       });
   links_.SetLossHandler([this](const wire::LinkLoss& loss) {
     emit_({EventNumber::kLinkClosed,
@@ -369,9 +384,19 @@
 }
 
 void Node::HandleReceivedCalls() {
-  for (CallInbox::Entry& it : inbox_.Take()) {
-    serving_.OnCall(CallOrigin{it.from}, std::move(it.message), Now());
-  }
+  for (CallInbox::Entry& it : inbox_.Take()) HandleReceivedCall(it);
+}
+
+// A call that cannot be handled is answered, so that its sender does not wait.
+void Node::HandleReceivedCall(CallInbox::Entry& entry) {
+  const CallOrigin origin{entry.from};
+  const CallId call = entry.message.call;
+  const bool ok = barrier_.Run("call", [&] {
+    serving_.OnCall(origin, std::move(entry.message), Now());
+  });
+  if (ok) return;
+  barrier_.Run("failed_call",
+               [&] { serving_.OnCallFailed(origin, call, Now()); });
 }
 
 void Node::Reply(const CallOrigin& origin, wire::AnswerMessage message) {
@@ -391,19 +416,25 @@
   });
 }
 
+// If one system fails, the others run all the same.
 void Node::Tick() {
-  CheckSuspension();
+  barrier_.Run("suspension_tick", [this] { CheckSuspension(); });
   const TimePoint now = Now();
-  entry_.Tick(now);
-  serving_.Tick(now);
-  chooser_.Tick(now);
-  members_.Tick(now);
-  settings_.features.shards ? TickShards(now) : TickGrantors(now);
-  rates_.Tick(now);
-  poison_.Tick(now);
-  if (settings_.chain.enabled) TickChain(now);
-  for (const auto& it : tick_handlers_) it(now);
-  if (stop_) ContinueStop();
+  barrier_.Run("entry_tick", [&] { entry_.Tick(now); });
+  barrier_.Run("serving_tick", [&] { serving_.Tick(now); });
+  barrier_.Run("route_tick", [&] { chooser_.Tick(now); });
+  barrier_.Run("member_tick", [&] { members_.Tick(now); });
+  barrier_.Run("owner_tick", [&] {
+    settings_.features.shards ? TickShards(now) : TickGrantors(now);
+  });
+  barrier_.Run("rate_tick", [&] { rates_.Tick(now); });
+  barrier_.Run("poison_tick", [&] { poison_.Tick(now); });
+  if (settings_.chain.enabled)
+    barrier_.Run("chain_tick", [&] { TickChain(now); });
+  for (const auto& it : tick_handlers_) {
+    barrier_.Run("added_tick", [&] { it(now); });
+  }
+  if (stop_) barrier_.Run("stop_tick", [this] { ContinueStop(); });
   if (!loop_.stopped()) ScheduleTick();
 }
 
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -20,6 +20,7 @@
 #include "http/caller_server.h"
 #include "node/call_inbox.h"
 #include "node/entry_base.h"
+#include "node/failure_barrier.h"
 #include "node/member_system.h"
 #include "node/metrics.h"
 #include "node/once_system.h"
@@ -48,7 +49,8 @@
 
   // Opens the listeners.
   core::base::Result<void> Listen();
-  // Runs the loop until the node has stopped.
+  // Runs the loop until the node has stopped. An exception that leaves a
+  // handler is reported and the loop goes on.
   void Run();
   // Begins a graceful shutdown; false if it has begun before. To be called on
   // the loop's thread.
@@ -119,6 +121,7 @@
     return config_;
   }
   bool stopping() const { return stop_.has_value(); }
+  FailureBarrier& barrier() { return barrier_; }
 
  private:
   // Without shards, rate grantors are computed from the members instead of
@@ -126,6 +129,7 @@
   static constexpr core::shard::Epoch kAssignedGrantorEpoch{2};
 
   EntryPorts MakeEntryPorts();
+  void OnBackendOutcome(ExecutionIndex index, http::BackendOutcome outcome);
   ServingPorts MakeServingPorts();
   http::CallerServerHooks MakeCallerHooks();
   void AddChainPorts(EntryPorts& ports);
@@ -142,6 +146,9 @@
   PoisonPorts MakePoisonPorts();
   void AddPoisonPorts(ServingPorts& ports);
   void SetLinkHandlers();
+  // Sets the handler of a frame kind, behind the barrier.
+  void SetFrameHandler(wire::FrameKind kind, const char* name,
+                       wire::Links::FrameHandler handler);
   void ScheduleTick();
   void Tick();
   void ContinueStop();
@@ -149,7 +156,7 @@
   // Ends the event loop.
   void EndRun(core::stop::StopEnd end);
   // Reports the end of the process and what is still owed.
-  void ReportEnd(const std::string& error);
+  void ReportEnd();
   // Executes a step of a graceful shutdown.
   void ExecuteStopStep(core::stop::StopStep step, TimePoint now);
   // Ends all requests in progress with a final answer.
@@ -169,10 +176,12 @@
   void CancelReceived(wire::LinkId from, core::base::CallId call);
   // Hands the received calls to the serving system.
   void HandleReceivedCalls();
+  void HandleReceivedCall(CallInbox::Entry& entry);
   void Reply(const CallOrigin& origin, wire::AnswerMessage message);
 
   Settings settings_;
   core::base::EventSink emit_;
+  FailureBarrier barrier_;
   Dialect dialect_;
   core::base::NodeAddress self_;
   wire::LinkPeer self_peer_;
--- a/src/node/node_ports.cc
+++ b/src/node/node_ports.cc
@@ -124,7 +124,7 @@
                          core::base::Duration timeout) {
     return backend_client_.Execute(
         request, timeout, [this, index](http::BackendOutcome outcome) {
-          serving_.OnBackendOutcome(index, std::move(outcome), Now());
+          OnBackendOutcome(index, std::move(outcome));
         });
   };
   ports.abort = [this](http::ExecutionId execution, Reason reason) {
@@ -140,12 +140,25 @@
     if (is_gone) poison_.OnProcessEnded(now);
   };
   AddPoisonPorts(ports);
+  ports.contain = [this](const std::function<void()>& work) {
+    return barrier_.Run("execution", work);
+  };
   ports.emit = emit_;
   ports.dialect = dialect_;
   if (settings_.chain.enabled) AddChainPorts(ports);
   return ports;
 }
 
+void Node::OnBackendOutcome(ExecutionIndex index,
+                            http::BackendOutcome outcome) {
+  const bool ok = barrier_.Run("outcome", [&] {
+    serving_.OnBackendOutcome(index, std::move(outcome), Now());
+  });
+  if (ok) return;
+  barrier_.Run("failed_outcome",
+               [&] { serving_.OnExecutionFailed(index, Now()); });
+}
+
 // The backend server receives the remaining time in whole milliseconds. The
 // graph matches calls by deadline, so the deadline is rounded in the same way.
 void Node::AddChainPorts(ServingPorts& ports) {
@@ -265,6 +278,15 @@
            "reason=" + std::string(core::base::GetReasonSpec(reason).code)});
     return dialect_.make_refusal(reply);
   };
+  hooks.on_failed = [this](http::ExchangeId exchange,
+                           const std::string& cause) {
+    barrier_.Report("request", cause);
+    barrier_.Run("failed_request", [&] { entry_.OnCancel(exchange, Now()); });
+    RefusalReply reply;
+    reply.ran = core::base::Ran::kUnknown;
+    reply.request = MakeRequestId(WallNow());
+    return dialect_.make_refusal(reply);
+  };
   hooks.on_closed = [this](const http::ConnectionClose& close) {
     metrics_.OnConnectionClosed(close);
     emit_(MakeCloseEvent(close));
--- a/src/node/process_end.cc
+++ b/src/node/process_end.cc
@@ -25,12 +25,7 @@
 }  // namespace
 
 void RunToExit(Node& node, EventLog& log) {
-  try {
-    node.Run();
-  } catch (...) {
-    log.End();  // writes the event that names the error
-    throw;
-  }
+  node.Run();
   log.End();
   Exit();
 }
--- a/src/node/process_end.h
+++ b/src/node/process_end.h
@@ -7,7 +7,7 @@
 namespace dogwoodrail::node {
 
 // Runs the node until it has stopped, ends its log and then the process,
-// without destructors. Throws what the event loop throws; the log has ended.
+// without destructors.
 [[noreturn]] void RunToExit(Node& node, EventLog& log);
 
 }  // namespace dogwoodrail::node
--- a/src/node/serving_base.cc
+++ b/src/node/serving_base.cc
@@ -155,6 +155,13 @@
 }
 
 void ServingSystem::Start(Execution& execution, TimePoint now) {
+  if (!ports_.contain) return Execute(execution, now);
+  const ExecutionIndex index = execution.index;
+  const bool ok = ports_.contain([&] { Execute(execution, now); });
+  if (!ok) OnExecutionFailed(index, now);
+}
+
+void ServingSystem::Execute(Execution& execution, TimePoint now) {
   if (ports_.may_start) {
     const auto refusal = ports_.may_start(execution, now);
     if (refusal) return RefuseAdmitted(execution, *refusal, now);
@@ -265,16 +272,57 @@
 
 void ServingSystem::OnCancel(const CallOrigin& origin, CallId call,
                              TimePoint now) {
-  std::vector<ExecutionIndex> cancelled;
+  for (const ExecutionIndex index : FindCalls(origin, call)) {
+    Execution* execution = executions_.Find(index);
+    if (execution != nullptr) Abort(*execution, Reason::kCancelled, now);
+  }
+}
+
+std::vector<ExecutionIndex> ServingSystem::FindCalls(const CallOrigin& origin,
+                                                     CallId call) {
+  std::vector<ExecutionIndex> found;
   executions_.ForEach([&](ExecutionIndex index, const Execution& it) {
     if (it.origin.link == origin.link && it.message.call == call) {
-      cancelled.push_back(index);
+      found.push_back(index);
     }
   });
-  for (const ExecutionIndex index : cancelled) {
-    Execution* execution = executions_.Find(index);
-    if (execution != nullptr) Abort(*execution, Reason::kCancelled, now);
-  }
+  return found;
+}
+
+void ServingSystem::OnCallFailed(const CallOrigin& origin, CallId call,
+                                 TimePoint now) {
+  const std::vector<ExecutionIndex> failed = FindCalls(origin, call);
+  if (failed.empty()) return ReplyFailed(origin, call);
+  for (const ExecutionIndex index : failed) OnExecutionFailed(index, now);
+}
+
+// The backend server may have the request, so its connection is closed.
+// Admission counts the call as running or as queued; the other of the two calls
+// has no effect.
+void ServingSystem::OnExecutionFailed(ExecutionIndex index, TimePoint now) {
+  Execution* execution = executions_.Find(index);
+  if (execution == nullptr) return;
+  ReplyFailed(execution->origin, execution->message.call);
+  const bool running = execution->running;
+  const http::ExecutionId backend = execution->backend;
+  const CallId id = AdmissionId(index);
+  const ExecutionOutcome ended{Duration(0), ExecutionResult::kCancelled};
+  const AdmissionActions finished = admission_.Finish(id, ended, now);
+  const AdmissionActions cancelled = admission_.Cancel(id, now);
+  Remove(*execution, now);
+  if (running) ports_.abort(backend, Reason::kInternal);
+  Apply(finished, now);
+  Apply(cancelled, now);
+}
+
+void ServingSystem::ReplyFailed(const CallOrigin& origin, CallId call) {
+  wire::AnswerMessage answer;
+  answer.call = call;
+  answer.ran = Ran::kUnknown;
+  answer.reason = Reason::kInternal;
+  answer.load = MakeLoadHint();
+  answer.reached = true;
+  ports_.reply(origin, std::move(answer));
 }
 
 void ServingSystem::OnLinkLost(wire::LinkId link, TimePoint now) {
--- a/src/node/serving_base.h
+++ b/src/node/serving_base.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "core/admission/admission_control.h"
 #include "node/serving_type.h"
@@ -35,6 +36,11 @@
   // Handles the end of an execution.
   void OnBackendOutcome(ExecutionIndex index, http::BackendOutcome outcome,
                         TimePoint now);
+  // Ends a call whose handling failed, and replies that its outcome is unknown.
+  void OnCallFailed(const CallOrigin& origin, core::base::CallId call,
+                    TimePoint now);
+  // The same for an execution.
+  void OnExecutionFailed(ExecutionIndex index, TimePoint now);
   // Handles an announcement of the backend server.
   void OnAnnouncement(const BackendAnnouncement& announcement, TimePoint now);
   // Refuses all further calls as not run.
@@ -62,6 +68,10 @@
                                TimePoint now) const;
   void Apply(const core::admission::AdmissionActions& actions, TimePoint now);
   void Start(Execution& execution, TimePoint now);
+  void Execute(Execution& execution, TimePoint now);
+  std::vector<ExecutionIndex> FindCalls(const CallOrigin& origin,
+                                        core::base::CallId call);
+  void ReplyFailed(const CallOrigin& origin, core::base::CallId call);
   void RefuseAdmitted(Execution& execution, core::base::Reason reason,
                       TimePoint now);
   http::Request MakeRequest(const Execution& execution, TimePoint now) const;
--- a/src/node/serving_type.h
+++ b/src/node/serving_type.h
@@ -59,6 +59,9 @@
   core::base::EventSink emit;
   Dialect dialect;
 
+  // Runs a piece of work; returns false if it threw an exception, which has
+  // been reported. Optional.
+  std::function<bool(const std::function<void()>&)> contain;
   // Checks a call before it is offered for admission, and returns a reason to
   // refuse it; optional.
   std::function<std::optional<core::base::Reason>(const wire::CallMessage&,
--- a/tests/integration/platform/odd_entry_test.cc
+++ b/tests/integration/platform/odd_entry_test.cc
@@ -1,4 +1,5 @@
 // Entries and heartbeats of another writer that no node can use.
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <thread>
@@ -12,6 +13,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr int kCallers = 12;
+
 struct OddText {
   std::string name;
   std::string text;
@@ -21,6 +24,22 @@
   return std::string(levels, '[') + std::string(levels, ']');
 }
 
+// Ids of one path segment that name no instance.
+std::vector<std::string> OddIds() {
+  return {"i-k\xe4rdla",        "\xff\xfe",   "i-\xc3",
+          "i-\xed\xa0\x80",     "i-\xc0\x80", "i-\xf5\x80\x80\x80",
+          std::string(300, 'i')};
+}
+
+// Returns a heartbeat with the service and address of the instance beside the
+// first node.
+std::string HeartbeatOf(const PlatformFleet& fleet, const std::string& state) {
+  return R"({"service":"lots","addr":"127.0.0.1:)" +
+         std::to_string(fleet.instance_port(0)) +
+         R"(","zone":"a","version":"v1","capacity":20,"state":")" + state +
+         R"(","born":1,"cold_left_ms":0,"sequence":1})";
+}
+
 // Texts of one `spec`; its brackets and quotes match.
 std::vector<OddText> OddSpecs() {
   const auto peer = [](const std::string& value) {
@@ -93,6 +112,66 @@
   }
 }
 
+// A heartbeat with an id that is not UTF-8 ended the process, and with it the
+// requests of all clients of the node.
+BOOST_AUTO_TEST_CASE(heartbeat_with_an_unreadable_id_ends_no_request) {
+  PlatformFleet fleet("odd_ids", {"lots", "lots"});
+  for (std::size_t it = 0; it < fleet.size(); ++it) {
+    fleet.instance(it).SetScript([](const InstanceRequest& request) {
+      return InstanceAnswer{
+          true, {{milliseconds(900), PlatformInstance::SuccessText(request)}}};
+    });
+  }
+  std::atomic<int> served{0};
+  std::vector<std::thread> callers;
+  for (int it = 0; it < kCallers; ++it) {
+    callers.emplace_back([&fleet, &served, it] {
+      const std::string path = "/read/held-" + std::to_string(it);
+      if (fleet.Send(0, "GET", path).status == 200) ++served;
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  for (const std::string& id : OddIds()) {
+    BOOST_TEST_CONTEXT("id " << id) {
+      const std::string path = "/dogwoodrail/instances/" + id;
+      for (const char* state : {"ready", "draining"}) {
+        fleet.PostControl(0, path + "/heartbeat", HeartbeatOf(fleet, state));
+      }
+      fleet.PostControl(0, path + "/leave", "{}");
+      BOOST_TEST(fleet.node(0).IsRunning());
+    }
+  }
+  for (std::thread& it : callers) it.join();
+  BOOST_TEST(served == kCallers);
+  BOOST_TEST(!fleet.LogLine(0, " 507 ", "cause=unreadable").empty());
+  BOOST_TEST(fleet.Metric(0, "dogwoodrail_handler_failures_total") == 0);
+  const std::size_t before = fleet.instance(0).RunsByTarget().size();
+  for (int it = 0; it < kCallers; ++it) {
+    const std::string path = "/read/later-" + std::to_string(it);
+    BOOST_TEST(fleet.Send(0, "GET", path).status == 200);
+  }
+  BOOST_TEST(fleet.instance(0).RunsByTarget().size() > before);
+}
+
+// The mark of an instance that leaves is read at the start of the node beside
+// it.
+BOOST_AUTO_TEST_CASE(odd_mark_in_its_own_entry_ends_no_node) {
+  PlatformFleet fleet("odd_mark", {"lots", "lots"});
+  fleet.node(0).Kill();
+  for (const char* instance :
+       {R"("\u0000\r\nx")", "\"\xe4\"", "7", R"("")", "{}", "null"}) {
+    BOOST_TEST_CONTEXT("instance " << instance) {
+      fleet.store().Put("dogwoodrail-nodes", "node-0",
+                        R"({"peer":"127.0.0.1:1","drained":{"instance":)" +
+                            std::string(instance) + "}}");
+      fleet.StartNode(0);
+      BOOST_TEST(fleet.WaitServing(seconds(10)));
+      BOOST_TEST(fleet.node(0).IsRunning());
+      fleet.node(0).Kill();
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace dogwoodrail::integration
--- a/tests/unit/adapter/codec_test.cc
+++ b/tests/unit/adapter/codec_test.cc
@@ -8,6 +8,7 @@
 
 #include "platform/backend_codec.h"
 #include "platform/config_codec.h"
+#include "platform/json_fields.h"
 #include "platform/node_codec.h"
 
 namespace dogwoodrail::platform {
@@ -118,6 +119,32 @@
   BOOST_TEST(std::holds_alternative<std::monostate>(notice));
 }
 
+// Writing such an id to the store threw an exception.
+BOOST_DATA_TEST_CASE(notice_with_an_unreadable_id_is_ignored,
+                     data::make({"i-k\xe4rdla", "\xff", "\xc3", "a b", "\x7f",
+                                 "\xc0\x80", "\xed\xa0\x80"})) {
+  const std::string path = "/dogwoodrail/instances/" + std::string(sample);
+  const auto heartbeat = ReadNotice(MakePost(
+      path + "/heartbeat",
+      R"({"service":"l","addr":"a","state":"draining","sequence":1})"));
+  BOOST_TEST(std::holds_alternative<std::monostate>(heartbeat));
+  const auto leave = ReadNotice(MakePost(path + "/leave", "{}"));
+  BOOST_TEST(std::holds_alternative<std::monostate>(leave));
+}
+
+BOOST_AUTO_TEST_CASE(id_beyond_ascii_is_read) {
+  const std::string id = "i-k\xc3\xa4rdla";
+  const auto notice =
+      ReadNotice(MakePost("/dogwoodrail/instances/" + id + "/leave", ""));
+  const auto* leave = std::get_if<node::LeaveNotice>(&notice);
+  BOOST_REQUIRE(leave != nullptr);
+  BOOST_TEST(leave->instance.value() == id);
+}
+
+BOOST_AUTO_TEST_CASE(body_that_is_not_utf_8_is_written_all_the_same) {
+  BOOST_TEST(FormatBody(Json{{"a", "\xe4"}}) == "{\"a\":\"\xef\xbf\xbd\"}");
+}
+
 BOOST_AUTO_TEST_CASE(leave_notice_contains_the_instance) {
   const auto notice =
       ReadNotice(MakePost("/dogwoodrail/instances/i-7/leave", ""));
--- a/tests/unit/events/close_event_test.cc
+++ b/tests/unit/events/close_event_test.cc
@@ -1,5 +1,6 @@
 #include "node/close_event.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <stdexcept>
@@ -18,6 +19,7 @@
 using core::base::Event;
 using core::base::EventLevel;
 using core::base::EventNumber;
+using core::base::TimePoint;
 using core::stop::StopCause;
 using core::stop::StopEnd;
 using http::CloseCause;
@@ -67,6 +69,14 @@
     return details.front();
   }
 
+  // Returns the number of events with a number and details.
+  std::size_t CountOf(EventNumber number, const std::string& detail) const {
+    return static_cast<std::size_t>(
+        std::count_if(events.begin(), events.end(), [&](const Event& it) {
+          return it.number == number && it.detail == detail;
+        }));
+  }
+
   std::vector<Event> events;
   boost::asio::io_context loop;
   Node node;
@@ -121,7 +131,6 @@
 
 BOOST_AUTO_TEST_CASE(cause_of_the_connections_that_end_with_the_process) {
   BOOST_TEST((CloseCauseOf(StopEnd::kDeadline) == CloseCause::kStopDeadline));
-  BOOST_TEST((CloseCauseOf(StopEnd::kError) == CloseCause::kProcessError));
   BOOST_TEST((CloseCauseOf(StopEnd::kFinished) == CloseCause::kServerClosed));
   BOOST_TEST((CloseCauseOf(StopEnd::kLoopEnded) == CloseCause::kServerClosed));
 }
@@ -153,12 +162,39 @@
       std::string::npos);
 }
 
-BOOST_AUTO_TEST_CASE(exception) {
+// An exception in one handler ended the process with all its requests.
+BOOST_AUTO_TEST_CASE(exception_in_a_handler_does_not_end_the_process) {
+  bool went_on = false;
   node.Post([] { throw std::runtime_error("broken"); });
-  BOOST_CHECK_THROW(node.Run(), std::runtime_error);
-  const std::string detail = DetailOf(EventNumber::kNodeStopped);
-  BOOST_TEST(detail.find(" cause=error ") != std::string::npos);
-  BOOST_TEST(detail.find(" error=broken") != std::string::npos);
+  node.Post([] { throw 7; });
+  node.Post([this, &went_on] {
+    went_on = true;
+    node.BeginStop(StopCause::kSigTerm);
+  });
+  node.Run();
+  BOOST_TEST(went_on);
+  BOOST_TEST(CountOf(EventNumber::kHandlerFailed,
+                     "work=event_loop cause=broken") == 1U);
+  BOOST_TEST(CountOf(EventNumber::kHandlerFailed,
+                     "work=event_loop cause=unknown exception") == 1U);
+  BOOST_TEST(node.barrier().failures() == 2U);
+  BOOST_TEST(DetailOf(EventNumber::kNodeStopped).find(" cause=finished ") !=
+             std::string::npos);
+}
+
+// A system whose timers fail must not hold up the others, least of all a stop.
+BOOST_AUTO_TEST_CASE(exception_in_a_tick_does_not_end_the_ticks) {
+  int ticks = 0;
+  node.AddTickHandler([](TimePoint) { throw std::runtime_error("broken"); });
+  node.AddTickHandler([this, &ticks](TimePoint) {
+    if (++ticks == 3) node.BeginStop(StopCause::kSigTerm);
+  });
+  node.Run();
+  BOOST_TEST(ticks >= 3);
+  BOOST_TEST(CountOf(EventNumber::kHandlerFailed,
+                     "work=added_tick cause=broken") >= 3U);
+  BOOST_TEST(DetailOf(EventNumber::kNodeStopped).find(" cause=finished ") !=
+             std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/http/caller_session_test.cc
+++ b/tests/unit/http/caller_session_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -45,7 +46,12 @@
   CallerServerHooks MakeHooks() {
     CallerServerHooks hooks;
     hooks.on_request = [this](ExchangeId exchange, const Request& request) {
-      if (request.target == "/later") {
+      if (request.target == "/throw") throw std::runtime_error("broken");
+      if (request.target == "/unwritable") {
+        Response response = MakeResponse(204);
+        response.body = "body";
+        server.Answer(exchange, response);
+      } else if (request.target == "/later") {
         kept.push_back(exchange);
       } else {
         server.Answer(exchange, MakeResponse(200));
@@ -58,6 +64,10 @@
       reasons.push_back(reason);
       return MakeResponse(400);
     };
+    hooks.on_failed = [this](ExchangeId, const std::string& cause) {
+      failures.push_back(cause);
+      return MakeResponse(502);
+    };
     return hooks;
   }
 
@@ -110,6 +120,7 @@
   std::vector<ExchangeId> kept;
   std::vector<ExchangeId> cancelled;
   std::vector<Reason> reasons;
+  std::vector<std::string> failures;
   error_code end;
 };
 
@@ -344,6 +355,45 @@
   BOOST_TEST(cancelled.empty());
 }
 
+// The exception ended the event loop and with it all connections.
+BOOST_AUTO_TEST_CASE(exception_of_a_request_ends_its_exchange_only) {
+  tcp::socket other(loop);
+  other.connect({asio::ip::address_v4::loopback(), port});
+  asio::write(other, asio::buffer("GET /later HTTP/1.1\r\nHost: t\r\n\r\n"));
+  Run(kStep);
+  BOOST_TEST(Send("GET /throw HTTP/1.1\r\nHost: test\r\n\r\n"));
+  Run(kStep);
+  BOOST_TEST(Receive().rfind("HTTP/1.1 502", 0) == 0U);
+  BOOST_TEST(end == asio::error::eof);
+  BOOST_TEST((failures == std::vector<std::string>{"broken"}));
+  BOOST_REQUIRE(kept.size() == 1U);
+  BOOST_TEST(server.Answer(kept.front(), MakeResponse(200)));
+  Run(kStep);
+  std::string answer(4096, '\0');
+  answer.resize(other.read_some(asio::buffer(answer)));
+  BOOST_TEST(answer.rfind("HTTP/1.1 200", 0) == 0U);
+}
+
+// The library throws for a 204 with a body.
+BOOST_AUTO_TEST_CASE(response_that_cannot_be_written_is_replaced) {
+  BOOST_TEST(Send("GET /unwritable HTTP/1.1\r\nHost: test\r\n\r\n"));
+  Run(kStep);
+  BOOST_TEST(Receive().rfind("HTTP/1.1 502", 0) == 0U);
+  BOOST_TEST(end == asio::error::eof);
+  BOOST_TEST(failures.size() == 1U);
+}
+
+// HTTP forbids it, and the library throws when it is passed on.
+BOOST_AUTO_TEST_CASE(trace_with_a_body_is_refused) {
+  BOOST_TEST(
+      Send("TRACE /later HTTP/1.1\r\nHost: test\r\n"
+           "Content-Length: 1\r\n\r\nx"));
+  Run(kStep);
+  BOOST_TEST(Receive().rfind("HTTP/1.1 400", 0) == 0U);
+  BOOST_TEST((reasons == std::vector{Reason::kBadRequest}));
+  BOOST_TEST(kept.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/http/close_cause_test.cc
+++ b/tests/unit/http/close_cause_test.cc
@@ -270,7 +270,7 @@
 // Plants lost answers: closes the server while a request is in progress.
 BOOST_AUTO_TEST_CASE(close_leaves_a_request_unanswered) {
   for (const auto cause : {CloseCause::kStopDeadline, CloseCause::kServerClosed,
-                           CloseCause::kProcessError}) {
+                           CloseCause::kShutdown}) {
     Fixture fixture;
     fixture.Send(kRequest);
     fixture.server.Close(cause);
