A stopping node takes no call that may outlast it

Cause: late requests are refused but for calls of executions. Whether a request is such a call was judged, not whether it can end in time. And the end was a time of ours, 5.5 s, whatever time the environment gives: with 10 s it broke calls off halfway, with less it would be killed over them.

Change: a late call is taken only if it expires before the stop ends requests; all others get 503 at once, unrun. The time until the kill comes from the environment by a flag in `run` (the template has no new placeholder). Callers are refused after 1.25 times idle_grace whatever the deadline is: with 10 s it was 3.3 s after the signal, later than the 3 s that are excused.

--- a/src/command/command_func.cc
+++ b/src/command/command_func.cc
@@ -18,6 +18,9 @@
 std::string UsageText() {
   return "dogwoodrail COMMAND [FLAGS]\n\n"
          "  node --settings FILE [--check]     run a node, or check its file\n"
+         "       [--kill_after_s SECONDS]      time that a stop may take, in "
+         "place\n"
+         "                                     of [shutdown] deadline\n"
          "  ticket apply FILE                  check a change ticket and apply "
          "it\n"
          "  ticket apply FILE --check          check it against what is in "
--- a/src/core/stop/stop_control.cc
+++ b/src/core/stop/stop_control.cc
@@ -39,6 +39,12 @@
   return settings.idle_grace * 3 / 2;
 }
 
+// Returns the time from the start until callers are refused. They have had time
+// to learn of the shutdown; the connections of the others are still open.
+base::Duration RefuseCallersAfter(const StopSettings& settings) {
+  return settings.idle_grace * 5 / 4;
+}
+
 }  // namespace
 
 std::optional<StopStep> StopControl::Next(const RemainingWork& work,
@@ -77,10 +83,13 @@
 
 bool StopControl::MustEndRequests(const RemainingWork& work,
                                   base::TimePoint now) const {
-  if (requests_ended_at_ || !HasRequests(work)) return false;
+  return !requests_ended_at_ && HasRequests(work) && now >= RequestsEndAt();
+}
+
+base::TimePoint StopControl::RequestsEndAt() const {
   const base::Duration reserve =
       std::min(kFinalAnswerTime, settings_.deadline / 4);
-  return now - started_at_ >= settings_.deadline - reserve;
+  return started_at_ + settings_.deadline - reserve;
 }
 
 base::TimePoint StopControl::LastEnd() const {
@@ -92,7 +101,7 @@
 // A request that comes later may not end before the deadline.
 bool StopControl::MustRefuseCallers(base::TimePoint now) const {
   const base::Duration after =
-      std::min(CloseIdleAfter(settings_), settings_.deadline / 2);
+      std::min(RefuseCallersAfter(settings_), settings_.deadline / 2);
   return !callers_refused_ && now - started_at_ >= after;
 }
 
--- a/src/core/stop/stop_control.h
+++ b/src/core/stop/stop_control.h
@@ -47,10 +47,11 @@
   kEnd,
   kEndRequests,    // answer what is still in progress; due shortly before the
                    // deadline, whatever step is next
-  kRefuseCallers,  // refuse new requests of callers, but not the calls of
-                   // executions; due with half of the time until the deadline
-                   // left, or when idle connections are due to be closed if
-                   // that is sooner, whatever step is next
+  kRefuseCallers,  // refuse new requests, except for the calls of executions
+                   // that expire before kEndRequests is due; due with half of
+                   // the time until the deadline left, or some time before idle
+                   // connections are due to be closed if that is sooner,
+                   // whatever step is next
 };
 
 // Schedules the steps of a graceful shutdown.
@@ -72,6 +73,9 @@
   // it returns no step.
   std::optional<StopStep> Next(const RemainingWork& work, base::TimePoint now);
 
+  // Returns the time at which kEndRequests is due.
+  base::TimePoint RequestsEndAt() const;
+
  private:
   bool IsNextDue(const RemainingWork& work, base::TimePoint now) const;
   bool MustEndRequests(const RemainingWork& work, base::TimePoint now) const;
--- a/src/main.cc
+++ b/src/main.cc
@@ -18,6 +18,8 @@
 DEFINE_string(account, "", "client account");
 DEFINE_string(request, "", "id of a request");
 DEFINE_string(event, "", "number of an event");
+DEFINE_string(kill_after_s, "",
+              "seconds from the signal to stop until the process is killed");
 DEFINE_bool(check, false, "only check");
 DEFINE_bool(json, false, "print for programs");
 DEFINE_bool(markdown, false, "print the page of the docs");
@@ -83,9 +85,13 @@
   std::optional<dogwoodrail::node::NodeProcess> process;
   if (arguments == std::vector<std::string>{"node"} && !FLAGS_check) {
     process.emplace().settings_file = FLAGS_settings;
+    const auto limits =
+        dogwoodrail::node::ParseProcessLimits(FLAGS_kill_after_s);
+    if (!limits) return dogwoodrail::command::PrintError(limits.error());
+    process->limits = *limits;
   }
   flags.run_node = [&process](const dogwoodrail::node::Settings& settings) {
-    return RunWithAdapter(settings, *process);
+    return RunWithAdapter(WithLimits(settings, process->limits), *process);
   };
   flags.settings = FLAGS_settings;
   flags.platform = FLAGS_platform;
--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -77,13 +77,21 @@
   if (const auto refusal = Identify(*headers, call, now)) {
     return RefuseImmediately(call, *refusal);
   }
-  if (refusing_callers_ && !IsCallOfExecution(call, now)) {
+  if (IsTooLate(call, now)) {
     return RefuseImmediately(call, {Reason::kShuttingDown, ""});
   }
   call.idempotency_key = headers->idempotency_key;
   Admit(std::move(call), now);
 }
 
+// An execution may need its calls to finish. But a call that may outlast this
+// node would be broken off while a backend server is at work on it; if it is
+// refused, the execution still learns in time that it has not run.
+bool EntrySystem::IsTooLate(const EntryCall& call, TimePoint now) const {
+  if (!calls_end_) return false;
+  return call.deadline > *calls_end_ || !IsCallOfExecution(call, now);
+}
+
 // Where calls of executions carry no context, a caller's request may look like
 // one. The deadline tells them apart: a call has no more time than its
 // execution, and no execution began since requests are refused.
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -54,9 +54,9 @@
   void OnLinkLost(const wire::LinkLoss& loss, TimePoint now);
   // Cancels the calls made by an execution that has ended.
   void CancelChildren(ExecutionIndex parent, TimePoint now);
-  // Refuses further requests, except for those that are, or without a context
-  // token may be, calls of executions.
-  void RefuseCallers() { refusing_callers_ = true; }
+  // Refuses further requests. Those that are, or without a context token may
+  // be, calls of executions are still taken if they expire before `end`.
+  void RefuseCallers(TimePoint end) { calls_end_ = end; }
   // Refuses further requests and retries no attempt.
   void BeginEnd() { ending_ = true; }
   // Ends all calls with what is known of them.
@@ -81,6 +81,8 @@
   };
 
   void Admit(EntryCall call, TimePoint now);
+  // Returns true if a request that came late in a shutdown must be refused.
+  bool IsTooLate(const EntryCall& call, TimePoint now) const;
   // Returns true if the request is a call made by an execution of the local
   // backend server.
   bool IsCallOfExecution(const EntryCall& call, TimePoint now) const;
@@ -126,8 +128,8 @@
   // Lowest importance set on any account, if one is set.
   std::optional<core::base::Importance> least_account_importance_;
   bool config_fresh_ = false;
-  bool refusing_callers_ = false;  // set by RefuseCallers()
-  bool ending_ = false;            // set by BeginEnd()
+  std::optional<TimePoint> calls_end_;  // set by RefuseCallers()
+  bool ending_ = false;                 // set by BeginEnd()
   core::base::Pool<EntryCall> calls_;
   std::unordered_map<http::ExchangeId, EntryIndex> by_exchange_;
   std::unordered_map<core::base::CallId, EntryIndex> by_attempt_;
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -232,7 +232,7 @@
     std::cerr << "dogwoodrail: cannot start: " << ok.error().detail << "\n";
     return kExitBadSettings;
   }
-  ReloadSystem reload(process.settings_file, hosted.node(), **log, emit);
+  ReloadSystem reload(process, hosted.node(), **log, emit);
   hosted.node().AddTickHandler([&reload](auto now) { reload.Tick(now); });
   process.signals.Start(MakeSignalHooks(hosted.node(), reload, emit));
   RunToExit(hosted.node(), **log);
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -535,7 +535,7 @@
     case StopStep::kEndRequests:
       return EndRequests(now);
     case StopStep::kRefuseCallers:
-      return entry_.RefuseCallers();
+      return entry_.RefuseCallers(stop_->RequestsEndAt());
   }
 }
 
--- a/src/node/reload_system.cc
+++ b/src/node/reload_system.cc
@@ -34,9 +34,13 @@
 
 }  // namespace
 
-ReloadSystem::ReloadSystem(std::string file, Node& node, EventLog& log,
-                           core::base::EventSink emit)
-    : file_(std::move(file)), node_(node), log_(log), emit_(std::move(emit)) {}
+ReloadSystem::ReloadSystem(const NodeProcess& process, Node& node,
+                           EventLog& log, core::base::EventSink emit)
+    : file_(process.settings_file),
+      limits_(process.limits),
+      node_(node),
+      log_(log),
+      emit_(std::move(emit)) {}
 
 bool ReloadSystem::OnSignal() {
   if (node_.stopping()) control_.BeginStop();
@@ -59,7 +63,7 @@
   } else if (auto parsed = ParseSettings(file_, *text); !parsed) {
     file.problems = std::move(parsed.error().lines);
   } else {
-    settings = std::move(*parsed);
+    settings = WithLimits(std::move(*parsed), limits_);
     file.text = std::move(*text);
     file.changes = FindChanges(node_.settings(), settings);
   }
--- a/src/node/reload_system.h
+++ b/src/node/reload_system.h
@@ -7,6 +7,7 @@
 #include "core/reload/reload_control.h"
 #include "node/event_log.h"
 #include "node/node_base.h"
+#include "node/node_process.h"
 
 namespace dogwoodrail::node {
 
@@ -15,7 +16,7 @@
 // whole.
 class ReloadSystem {
  public:
-  ReloadSystem(std::string file, Node& node, EventLog& log,
+  ReloadSystem(const NodeProcess& process, Node& node, EventLog& log,
                core::base::EventSink emit);
 
   // Lets the file be loaded; false during a stop.
@@ -31,6 +32,7 @@
            const core::reload::LoadedFile& file);
 
   std::string file_;
+  ProcessLimits limits_;
   Node& node_;
   EventLog& log_;
   core::base::EventSink emit_;
--- a/src/node/run_node.cc
+++ b/src/node/run_node.cc
@@ -56,7 +56,7 @@
   node.shards().SetPlatform(
       [&records](const auto& action) { records.Start(action); });
   node.Post([&config] { config.Start(); });
-  ReloadSystem reload(process.settings_file, node, **log, emit);
+  ReloadSystem reload(process, node, **log, emit);
   node.AddTickHandler([&reload](auto now) { reload.Tick(now); });
   process.signals.Start(MakeSignalHooks(node, reload, emit));
   RunToExit(node, **log);
--- a/tests/integration/platform/common/fleet.cc
+++ b/tests/integration/platform/common/fleet.cc
@@ -150,12 +150,13 @@
   return path;
 }
 
-void PlatformFleet::StartNode(std::size_t it) {
+void PlatformFleet::StartNode(std::size_t it,
+                              const std::vector<std::string>& flags) {
+  std::vector<std::string> args = {"node", "--settings", WriteSettings(it)};
+  args.insert(args.end(), flags.begin(), flags.end());
   vms_.at(it).process.reset();
-  vms_.at(it).process = std::make_unique<Process>(
-      "dogwoodrail",
-      std::vector<std::string>{"node", "--settings", WriteSettings(it)},
-      node_log(it));
+  vms_.at(it).process =
+      std::make_unique<Process>("dogwoodrail", args, node_log(it));
 }
 
 // A request is served by any instance, so that each node is asked as often as
--- a/tests/integration/platform/common/fleet.h
+++ b/tests/integration/platform/common/fleet.h
@@ -44,8 +44,9 @@
   std::map<std::string, std::size_t> RunsByTarget();
 
   Process& node(std::size_t it) { return *vms_.at(it).process; }
-  // Starts the process of a node, again if it has run before.
-  void StartNode(std::size_t it);
+  // Starts the process of a node, again if it has run before, with further
+  // flags.
+  void StartNode(std::size_t it, const std::vector<std::string>& flags = {});
   // Waits until every node is ready and serves a request.
   bool WaitServing(std::chrono::milliseconds timeout);
   std::string node_log(std::size_t it) const;
--- a/tests/integration/platform/deployed_settings_test.cc
+++ b/tests/integration/platform/deployed_settings_test.cc
@@ -129,16 +129,22 @@
   for (std::size_t it = 0; it < fleet.size(); ++it) {
     fleet.instance(it).SetScript(script);
   }
-  constexpr int kCallers = 12;
-  std::atomic<int> served{0};
+  // The nodes choose the instance: requests are sent until one runs beside the
+  // node that is stopped.
+  constexpr std::size_t kMaxCallers = 60;
+  std::atomic<std::size_t> served{0};
   std::vector<std::thread> callers;
-  callers.reserve(kCallers);
-  for (int it = 0; it < kCallers; ++it) {
-    callers.emplace_back([&fleet, &served, it] {
-      const std::string path = "/read/busy-" + std::to_string(it);
+  bool is_placed = false;
+  while (!is_placed && callers.size() < kMaxCallers) {
+    const std::string path = "/read/busy-" + std::to_string(callers.size());
+    callers.emplace_back([&fleet, &served, path] {
       if (fleet.Send(1, "GET", path).status == 200) ++served;
     });
+    is_placed = WaitUntil(milliseconds(50), [&fleet, &path] {
+      return fleet.instance(0).CountRuns(path) > 0;
+    });
   }
+  BOOST_TEST(is_placed);
   std::this_thread::sleep_for(milliseconds(300));
   fleet.node(0).SendSignal(SIGTERM);
   std::this_thread::sleep_for(milliseconds(3000));
@@ -159,7 +165,7 @@
   BOOST_TEST(send_open("/open/late", "4000") == 503);
   BOOST_TEST(fleet.CountRuns("/open/late") == 0U);
   for (std::thread& it : callers) it.join();
-  BOOST_TEST(served == kCallers);
+  BOOST_TEST(served == callers.size());
   BOOST_TEST(fleet.node(0).WaitExit(kStopTimeout).value_or(-1) == 0);
 }
 
--- a/tests/unit/stop/stop_control_test.cc
+++ b/tests/unit/stop/stop_control_test.cc
@@ -89,6 +89,23 @@
   BOOST_CHECK(receiving.at(StopStep::kRefuseCallers) == milliseconds(2750));
 }
 
+// A longer shutdown gives no more time to callers, whose requests may last as
+// long as the shutdown.
+BOOST_AUTO_TEST_CASE(late_callers_are_refused_as_early_in_a_long_shutdown) {
+  StopSettings settings = MakeRollingRestartSettings();
+  settings.deadline = milliseconds(9500);
+  const auto busy = [](base::Duration elapsed) {
+    RemainingWork work;
+    work.executions = elapsed <= milliseconds(9250) ? 1 : 0;
+    return work;
+  };
+  const StepTimes times = Run(settings, busy);
+  BOOST_CHECK(times.at(StopStep::kRefuseCallers) == milliseconds(2750));
+  BOOST_CHECK(times.at(StopStep::kEndRequests) == milliseconds(9250));
+  const StopControl control(settings, base::TimePoint(seconds(1)));
+  BOOST_CHECK(control.RequestsEndAt() == base::TimePoint(milliseconds(10250)));
+}
+
 BOOST_AUTO_TEST_CASE(shutdown_completes_at_the_deadline) {
   const auto never_idle = [](base::Duration) {
     RemainingWork work;
