--- a/src/command/command_func.cc
+++ b/src/command/command_func.cc
@@ -21,6 +21,8 @@
          "       [--kill_after_s SECONDS]      time that a stop may take, in "
          "place\n"
          "                                     of [shutdown] deadline\n"
+         "       [--memory_mb MEGABYTES]       memory, in place of [node] "
+         "memory_bytes\n"
          "  ticket apply FILE                  check a change ticket and apply "
          "it\n"
          "  ticket apply FILE --check          check it against what is in "
--- a/src/core/base/reason_table.cc
+++ b/src/core/base/reason_table.cc
@@ -44,6 +44,7 @@
     {Reason::kInternal, "internal", 500, false, "internal error"},
     {Reason::kChainOverloaded, "chain_overloaded", 503, true, "a service that the request leads to is at its limit"},
     {Reason::kRequestTimeout, "request_timeout", 408, false, "the request did not arrive in time"},
+    {Reason::kMemoryExhausted, "memory_exhausted", 503, true, "the node has no memory for the message"},
 }};
 // clang-format on
 
--- a/src/core/base/request_type.h
+++ b/src/core/base/request_type.h
@@ -60,6 +60,7 @@
   kInternal,
   kChainOverloaded,
   kRequestTimeout,
+  kMemoryExhausted,
   kCount,
 };
 
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -99,8 +99,8 @@
   if (!idle_.empty()) ScheduleIdleCheck();
 }
 
-void BackendClient::LimitBufferedBytes() {
-  if (buffered_bytes_ <= settings_.max_buffered_bytes) return;
+void BackendClient::LimitBufferedBytes(bool has_room) {
+  if (has_room && buffered_bytes_ <= settings_.max_buffered_bytes) return;
   std::shared_ptr<Connection> longest;
   for (const auto& [id, connection] : executions_) {
     if (!longest || connection->response_bytes() > longest->response_bytes()) {
--- a/src/http/backend_client.h
+++ b/src/http/backend_client.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/base/id_type.h"
+#include "core/base/memory_budget.h"
 #include "core/base/request_type.h"
 #include "core/base/time_type.h"
 #include "http/message_type.h"
@@ -74,6 +75,8 @@
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
 
+  // Sets the budget for the responses being read; not owned, may be null.
+  void SetMemoryBudget(core::base::MemoryBudget* memory) { memory_ = memory; }
   // Sets the backend server's address. If it changes, idle connections are
   // closed.
   void SetAddress(boost::asio::ip::tcp::endpoint address);
@@ -101,12 +104,14 @@
   void ScheduleIdleCheck();
   // Closes the idle connections that cannot be reused.
   void CheckIdle();
-  // Ends the longest response if all together exceed max_buffered_bytes.
-  void LimitBufferedBytes();
+  // Ends the longest response if all together exceed max_buffered_bytes, or if
+  // there was no room for what was read last.
+  void LimitBufferedBytes(bool has_room);
 
   boost::asio::io_context& loop_;
   BackendClientSettings settings_;
   BackendHooks hooks_;
+  core::base::MemoryBudget* memory_ = nullptr;
   boost::asio::ip::tcp::endpoint address_;
   std::uint64_t next_execution_ = 1;
   std::unordered_map<ExecutionId, std::shared_ptr<Connection>> executions_;
--- a/src/http/backend_connection.cc
+++ b/src/http/backend_connection.cc
@@ -60,7 +60,8 @@
     : client_(client),
       address_(std::move(address)),
       stream_(client.loop_),
-      buffer_(client.settings_.max_response_header_bytes + kBufferSlackBytes) {}
+      buffer_(client.settings_.max_response_header_bytes + kBufferSlackBytes),
+      memory_(client.memory_) {}
 
 void BackendClient::Connection::Execute(ExecutionId id, Request request,
                                         core::base::Duration timeout,
@@ -161,7 +162,7 @@
   error_code ec;
   const std::size_t n = ParseBytes(*parser_, buffer_.data(), ec);
   buffer_.consume(n);
-  CountBytes(n);
+  const bool has_room = CountBytes(n);
   if (ec && ec != beast::http::error::need_more) {
     return Fail(Reason::kBackendServerFailed, "read: " + ec.message());
   }
@@ -169,18 +170,22 @@
     return Fail(Reason::kBackendServerFailed, "excessive framing of the body");
   }
   if (parser_->is_done()) return OnResponse();
-  client_.LimitBufferedBytes();
+  client_.LimitBufferedBytes(has_room);
   if (callback_) ReadSome();
 }
 
-void BackendClient::Connection::CountBytes(std::size_t n) {
+bool BackendClient::Connection::CountBytes(std::size_t n) {
   response_bytes_ += n;
   client_.buffered_bytes_ += n;
+  const bool has_room = memory_.TryResize(response_bytes_);
+  if (!has_room) memory_.Resize(response_bytes_);
+  return has_room;
 }
 
 void BackendClient::Connection::ReleaseBytes() {
   client_.buffered_bytes_ -= response_bytes_;
   response_bytes_ = 0;
+  memory_.Resize(0);
 }
 
 // A chunked body may be framed by as many bytes as it has content, besides an
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -47,8 +47,9 @@
   void OnRead(const boost::system::error_code& ec, std::size_t n);
   // Parses what has been read.
   void Parse();
-  // Counts bytes of the current response, or forgets them.
-  void CountBytes(std::size_t n);
+  // Counts bytes of the current response, or forgets them. The first returns
+  // false if there is no room for them.
+  bool CountBytes(std::size_t n);
   void ReleaseBytes();
   bool HasExcessiveFraming() const;
   void OnReadError(const boost::system::error_code& ec);
@@ -78,6 +79,7 @@
   // A response to another request was read: more may follow.
   bool out_of_step_ = false;
   std::size_t response_bytes_ = 0;
+  core::base::MemoryReservation memory_;  // for response_bytes_
   int skipped_responses_ = 0;
 };
 
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -13,6 +13,7 @@
 
 #include "core/base/error_type.h"
 #include "core/base/id_type.h"
+#include "core/base/memory_budget.h"
 #include "core/base/request_type.h"
 #include "http/close_type.h"
 #include "http/message_type.h"
@@ -61,6 +62,8 @@
 
   // Starts listening for callers.
   core::base::Result<void> Listen(const std::string& ip, std::uint16_t port);
+  // Sets the budget for the messages of the callers; not owned, may be null.
+  void SetMemoryBudget(core::base::MemoryBudget* memory) { memory_ = memory; }
   // Replaces the settings. Open connections use the new size limits from the
   // next request on and the new timeouts from the next operation on. A longer
   // idle timeout also applies to connections that are idle now; a shorter one
@@ -96,6 +99,7 @@
   boost::asio::io_context& loop_;
   CallerServerSettings settings_;
   CallerServerHooks hooks_;
+  core::base::MemoryBudget* memory_ = nullptr;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::uint64_t next_exchange_ = 1;
   std::unordered_map<Session*, std::shared_ptr<Session>> sessions_;
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -32,6 +32,8 @@
 constexpr std::chrono::milliseconds kLingerTimeout(1000);
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} * 1024 * 1024;
 constexpr int kInternalError = 500;
+// Copies of a request body that a node holds at a time.
+constexpr std::uint64_t kBodyCopies = 2;
 
 // Maps a read or parse error to a reason; kNone if the connection ended without
 // a malformed message.
@@ -63,6 +65,8 @@
     : server_(server),
       stream_(std::move(socket)),
       buffer_(server.settings_.max_header_bytes + kBufferSlackBytes),
+      request_memory_(server.memory_),
+      response_memory_(server.memory_),
       timer_(server.loop_) {}
 
 void CallerServer::Session::Start() {
@@ -73,6 +77,8 @@
 
 void CallerServer::Session::ReadNext() {
   is_read_whole_ = false;
+  request_memory_.Resize(0);
+  response_memory_.Resize(0);
   if (buffer_.size() > 0) return ReadHeader();
   WaitForRequest();
   if (server_.closing_idle_) CloseIfIdle();
@@ -142,8 +148,12 @@
 void CallerServer::Session::Parse() {
   error_code ec;
   buffer_.consume(ParseBytes(*parser_, buffer_.data(), ec));
-  const bool more = ec == beast::http::error::need_more ||
-                    (!ec && phase_ == Phase::kBody && !parser_->is_done());
+  const bool needs_more = ec == beast::http::error::need_more;
+  const bool is_body = phase_ == Phase::kBody && (!ec || needs_more);
+  if (is_body && !ReserveBody(parser_->get().body().size())) {
+    return RefuseBody();
+  }
+  const bool more = needs_more || (is_body && !parser_->is_done());
   if (!more) return OnParsed(ec);
   if (timed_out_) return OnParsed(beast::http::error::need_more);
   ReadMore();
@@ -190,8 +200,25 @@
          !beast::iequals(message[field::transfer_encoding], "chunked");
 }
 
+// The body is held once for further attempts and once for the attempt in
+// flight. Its announced size is reserved before it is read: a body that finds
+// no room is refused before anybody has spent work on it.
+bool CallerServer::Session::ReserveBody(std::uint64_t bytes) {
+  const std::uint64_t wanted = kBodyCopies * bytes;
+  return wanted <= request_memory_.bytes() || request_memory_.TryResize(wanted);
+}
+
+void CallerServer::Session::RefuseBody() {
+  is_body_refused_ = true;
+  std::string().swap(parser_->get().body());
+  AnswerMalformed(Reason::kMemoryExhausted, "no memory for the body",
+                  CloseCause::kRefused);
+}
+
 void CallerServer::Session::ReadBody() {
   phase_ = Phase::kBody;
+  const auto length = parser_->content_length();
+  if (length && !ReserveBody(*length)) return RefuseBody();
   if (parser_->is_done()) return Dispatch();
   StartTimer(server_.settings_.body_timeout);
   parser_->eager(true);
@@ -318,6 +345,11 @@
 
 void CallerServer::Session::Write(Response response, bool keep_alive,
                                   CloseCause cause) {
+  request_memory_.Resize(0);
+  if (!response_memory_.TryResize(response.body.size())) {
+    keep_alive = false;
+    response = MakeFailure("no memory for the response");
+  }
   auto message = EncodeResponse(std::move(response), keep_alive);
   if (!message) {
     keep_alive = false;
@@ -358,12 +390,19 @@
 }
 
 // Discards what the caller still sends, until it closes or a limit is reached.
+// Many callers read no response before they have sent their request.
 void CallerServer::Session::Linger() {
   phase_ = Phase::kLinger;
-  StartTimer(kLingerTimeout);
+  StartTimer(is_body_refused_ ? server_.settings_.body_timeout
+                              : kLingerTimeout);
   Discard();
 }
 
+std::size_t CallerServer::Session::MaxDiscardedBytes() const {
+  if (!is_body_refused_) return kMaxDiscardedBytes;
+  return std::max(kMaxDiscardedBytes, server_.settings_.max_body_bytes);
+}
+
 void CallerServer::Session::Discard() {
   buffer_.clear();
   stream_.async_read_some(
@@ -376,7 +415,7 @@
 void CallerServer::Session::OnDiscarded(const error_code& ec, std::size_t n) {
   if (finished_) return;
   discarded_bytes_ += n;
-  if (ec || discarded_bytes_ > kMaxDiscardedBytes) {
+  if (ec || discarded_bytes_ > MaxDiscardedBytes()) {
     return Finish(close_after_write_);
   }
   Discard();
@@ -466,6 +505,8 @@
 void CallerServer::Session::Finish(CloseCause cause) {
   if (finished_) return;
   finished_ = true;
+  request_memory_.Resize(0);
+  response_memory_.Resize(0);
   StopTimer();
   ReportClose(cause);
   error_code ec;
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -63,6 +63,9 @@
   void OnHeader(const boost::system::error_code& ec);
   void ReadBody();
   void OnBody(const boost::system::error_code& ec);
+  // Reserves memory for a body of a size; false if there is none.
+  bool ReserveBody(std::uint64_t bytes);
+  void RefuseBody();
   bool IsTraceWithBody() const;
   void Dispatch();
   // Ends an exchange that cannot be served because of an unforeseen exception.
@@ -78,6 +81,7 @@
   void OnWritten(bool keep_alive, const boost::system::error_code& ec);
   void EndSending();
   void Linger();
+  std::size_t MaxDiscardedBytes() const;
   void OnDiscarded(const boost::system::error_code& ec, std::size_t n);
   void Discard();
   void StartTimer(std::chrono::milliseconds timeout);
@@ -99,12 +103,15 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
   std::optional<Parser> parser_;
   std::optional<BeastResponse> response_;
+  core::base::MemoryReservation request_memory_;
+  core::base::MemoryReservation response_memory_;
   boost::asio::steady_timer timer_;
   std::uint64_t timer_number_ = 0;  // of the last timer started or stopped
   ExchangeId exchange_;
   Phase phase_ = Phase::kIdle;
   std::size_t discarded_bytes_ = 0;
-  bool is_read_whole_ = false;  // the last request, to the end of its body
+  bool is_body_refused_ = false;  // the caller may still be sending it
+  bool is_read_whole_ = false;    // the last request, to the end of its body
   std::chrono::steady_clock::time_point idle_since_;
   std::chrono::milliseconds idle_timeout_{0};  // of the wait in progress
   bool timed_out_ = false;                     // the header or the body
--- a/src/main.cc
+++ b/src/main.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "command/command_func.h"
+#include "node/allocator_func.h"
 #include "node/hosted_node.h"
 #include "node/run_node.h"
 #include "platform/host_ports.h"
@@ -20,6 +21,7 @@
 DEFINE_string(event, "", "number of an event");
 DEFINE_string(kill_after_s, "",
               "seconds from the signal to stop until the process is killed");
+DEFINE_string(memory_mb, "", "megabytes above which the process is killed");
 DEFINE_bool(check, false, "only check");
 DEFINE_bool(json, false, "print for programs");
 DEFINE_bool(markdown, false, "print the page of the docs");
@@ -85,10 +87,11 @@
   std::optional<dogwoodrail::node::NodeProcess> process;
   if (arguments == std::vector<std::string>{"node"} && !FLAGS_check) {
     process.emplace().settings_file = FLAGS_settings;
-    const auto limits =
-        dogwoodrail::node::ParseProcessLimits(FLAGS_kill_after_s);
+    const auto limits = dogwoodrail::node::ParseProcessLimits(
+        FLAGS_kill_after_s, FLAGS_memory_mb);
     if (!limits) return dogwoodrail::command::PrintError(limits.error());
     process->limits = *limits;
+    dogwoodrail::node::ReturnFreedMemory();
   }
   flags.run_node = [&process](const dogwoodrail::node::Settings& settings) {
     return RunWithAdapter(WithLimits(settings, process->limits), *process);
--- a/src/node/entry_attempt.cc
+++ b/src/node/entry_attempt.cc
@@ -13,6 +13,7 @@
 using core::attempt::AttemptShare;
 using core::base::CallId;
 using core::base::Duration;
+using core::base::ErrorCode;
 using core::base::EventNumber;
 using core::base::Ran;
 using core::base::Reason;
@@ -101,9 +102,15 @@
   const auto sent = ports_.send(
       attempt.to, MakeCallMessage(call, attempt.id, share.count, now));
   if (!sent) {
-    EndAttempt(call, CallResult::kFailed, std::nullopt, now);
-    return OnAttemptFailed(
-        call, {Ran::kNotRun, Reason::kConnectionLost, Duration(0), false}, now);
+    // A call that is too large for one other node is too large for all.
+    const bool is_too_large = sent.error().code == ErrorCode::kInvalidArgument;
+    const Reason reason =
+        is_too_large ? Reason::kMemoryExhausted : Reason::kConnectionLost;
+    const CallResult result =
+        is_too_large ? CallResult::kOk : CallResult::kFailed;
+    EndAttempt(call, result, std::nullopt, now);
+    return OnAttemptFailed(call, {Ran::kNotRun, reason, Duration(0), false},
+                           now);
   }
   call.attempt->frame = *sent;
 }
@@ -152,18 +159,8 @@
 
 void EntrySystem::OnAnswer(wire::LinkId from, wire::AnswerMessage message,
                            TimePoint now) {
-  const auto it = by_attempt_.find(message.call);
-  EntryCall* call = it == by_attempt_.end() ? nullptr : calls_.Find(it->second);
-  const bool matches = call != nullptr && call->attempt &&
-                       (call->attempt->frame ? call->attempt->frame->link
-                                             : wire::LinkId()) == from;
-  if (!matches) {
-    ports_.emit({EventNumber::kLateAnswerDropped,
-                 {},
-                 {},
-                 "attempt=" + std::to_string(message.call.value())});
-    return;
-  }
+  EntryCall* call = FindAttempt(from, message.call);
+  if (call == nullptr) return;
   if (ports_.on_backpressure) {
     ports_.on_backpressure(*call, message.backpressure, now);
   }
@@ -187,6 +184,31 @@
       {message.ran, message.reason, message.retry_after, message.reached}, now);
 }
 
+EntryCall* EntrySystem::FindAttempt(wire::LinkId from,
+                                    core::base::CallId attempt) {
+  const auto it = by_attempt_.find(attempt);
+  EntryCall* call = it == by_attempt_.end() ? nullptr : calls_.Find(it->second);
+  const bool matches = call != nullptr && call->attempt &&
+                       (call->attempt->frame ? call->attempt->frame->link
+                                             : wire::LinkId()) == from;
+  if (matches) return call;
+  ports_.emit({EventNumber::kLateAnswerDropped,
+               {},
+               {},
+               "attempt=" + std::to_string(attempt.value())});
+  return nullptr;
+}
+
+void EntrySystem::OnTruncatedAnswer(wire::LinkId from,
+                                    core::base::CallId attempt, TimePoint now) {
+  EntryCall* call = FindAttempt(from, attempt);
+  if (call == nullptr) return;
+  Emit(EventNumber::kAttemptLost, *call, "cause=no memory for the answer");
+  EndAttempt(*call, CallResult::kOk, std::nullopt, now);
+  OnAttemptFailed(
+      *call, {Ran::kUnknown, Reason::kMemoryExhausted, Duration(0), true}, now);
+}
+
 void EntrySystem::OnLinkLost(const wire::LinkLoss& loss, TimePoint now) {
   std::vector<EntryIndex> lost;
   calls_.ForEach([&](EntryIndex index, EntryCall& call) {
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -50,6 +50,9 @@
   void OnGateResult(EntryIndex index, const GateResult& answer, TimePoint now);
   // Handles the answer to an attempt. `from` is zero for this node itself.
   void OnAnswer(wire::LinkId from, wire::AnswerMessage message, TimePoint now);
+  // Fails an attempt whose answer there was no memory for.
+  void OnTruncatedAnswer(wire::LinkId from, core::base::CallId attempt,
+                         TimePoint now);
   // Fails the attempts that were in flight on a lost link.
   void OnLinkLost(const wire::LinkLoss& loss, TimePoint now);
   // Cancels the calls made by an execution that has ended.
@@ -102,6 +105,8 @@
                                     std::uint32_t share, TimePoint now) const;
   core::attempt::AttemptBudget* BudgetOf(EntryCall& call);
   Execution* ParentOf(const EntryCall& call);
+  // Returns the call that waits for the answer to an attempt, or nullptr.
+  EntryCall* FindAttempt(wire::LinkId from, core::base::CallId attempt);
   void EndAttempt(EntryCall& call, core::route::CallResult result,
                   const std::optional<core::route::LoadHint>& hint,
                   TimePoint now);
--- a/src/node/entry_type.h
+++ b/src/node/entry_type.h
@@ -110,7 +110,7 @@
   // Sends a call to another node or to the serving system of this node.
   // Returns the frame sent, or nullopt if this node serves the call.
   std::function<core::base::Result<std::optional<wire::SentFrame>>(
-      const core::base::NodeAddress&, const wire::CallMessage&)>
+      const core::base::NodeAddress&, wire::CallMessage)>
       send;
   // Asks the serving node to cancel an attempt.
   std::function<void(const Attempt&)> cancel;
--- a/src/node/execution_type.h
+++ b/src/node/execution_type.h
@@ -7,6 +7,7 @@
 #include "core/admission/downstream_time.h"
 #include "core/attempt/attempt_budget.h"
 #include "core/base/id_type.h"
+#include "core/base/memory_budget.h"
 #include "core/base/pool_type.h"
 #include "core/base/time_type.h"
 #include "http/backend_client.h"
@@ -36,6 +37,7 @@
   std::string context;  // token that identifies its downstream calls
   core::attempt::AttemptBudget budget;
   core::admission::DownstreamTime downstream;
+  core::base::MemoryReservation memory;  // for the body of another node's call
 };
 
 }  // namespace dogwoodrail::node
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -28,6 +28,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval(5);
+// Part of the memory that is for messages. Besides them there are copies of a
+// message while it is encoded or decoded, and what the node holds of its own.
+constexpr std::size_t kMessageMemoryDivisor = 3;
 constexpr core::base::Duration kMemberUpdateInterval =
     std::chrono::milliseconds(200);
 // Smallest change of the admitted share that is logged.
@@ -100,6 +103,7 @@
     : settings_(std::move(settings)),
       emit_(std::move(emit)),
       barrier_(emit_),
+      memory_(settings_.identity.memory_bytes / kMessageMemoryDivisor),
       dialect_(std::move(dialect)),
       self_(settings_.identity.peer_address),
       self_peer_(MakeSelfPeer(settings_)),
@@ -129,6 +133,9 @@
                RandomSeed(), datagrams_, chooser_, emit_),
       caller_server_(loop_, settings_.caller, MakeCallerHooks()) {
   links_.SetTraffic(&traffic_);
+  links_.SetMemoryBudget(&memory_);
+  backend_client_.SetMemoryBudget(&memory_);
+  caller_server_.SetMemoryBudget(&memory_);
   datagrams_.SetTraffic(&traffic_, [this](const NodeAddress& address) {
     return ScopeOf(address);
   });
@@ -140,10 +147,21 @@
         });
   }
   suspended_total_ = SuspendedTime();
+  AddMetricsSources();
+}
+
+void Node::AddMetricsSources() {
   metrics_.AddSource([this](std::ostream& out) {
     WriteMetric(out, "dogwoodrail_handler_failures_total", "counter",
                 "Pieces of work that an unforeseen exception ended.",
                 barrier_.failures());
+    WriteMetric(out, "dogwoodrail_message_bytes", "gauge",
+                "Bytes of messages that the node holds.", memory_.used());
+    WriteMetric(out, "dogwoodrail_message_bytes_limit", "gauge",
+                "Bytes of messages that the node may hold.", memory_.limit());
+    WriteMetric(out, "dogwoodrail_message_refusals_total", "counter",
+                "Messages, or parts of them, that there was no memory for.",
+                memory_.refusals());
   });
 }
 
@@ -328,6 +346,9 @@
                   [this](LinkId from, const Bytes& bytes) {
                     once_.OnFrame(from, bytes, Now());
                   });
+  links_.SetTruncatedHandler([this](LinkId from, const wire::Frame& frame) {
+    barrier_.Run("truncated_frame", [&] { OnTruncated(from, frame); });
+  });
   datagrams_.SetHandler(
       [this](const NodeAddress& from, const wire::Frame& frame) {
         barrier_.Run("datagram", [&] {
@@ -357,11 +378,14 @@
 }
 
 core::base::Result<std::optional<wire::SentFrame>> Node::SendCall(
-    const NodeAddress& to, const wire::CallMessage& message) {
+    const NodeAddress& to, wire::CallMessage message) {
   if (to == self_) {
-    ReceiveCall(wire::LinkId(), message);
+    ReceiveCall(wire::LinkId(), std::move(message));
     return std::nullopt;
   }
+  if (message.body.size() > wire::kMaxCallBodyBytes) {
+    return MakeError(ErrorCode::kInvalidArgument, "body too large for a frame");
+  }
   auto sent = links_.Send(to, wire::EncodeCall(message));
   if (!sent) return tl::make_unexpected(sent.error());
   return std::optional<wire::SentFrame>(*sent);
@@ -406,7 +430,27 @@
     });
     return;
   }
-  (void)links_.Reply(origin.link, wire::EncodeAnswer(message));
+  SendAnswer(origin.link, std::move(message));
+}
+
+// An answer that there is no memory for must not leave its call waiting.
+void Node::SendAnswer(wire::LinkId link, wire::AnswerMessage message) {
+  if (links_.Reply(link, wire::EncodeAnswer(message))) return;
+  if (message.body.empty() || links_.PeerOf(link) == nullptr) return;
+  message.ran = core::base::Ran::kUnknown;
+  message.reason = Reason::kInternal;
+  message.headers.clear();
+  message.body.clear();
+  (void)links_.Reply(link, wire::EncodeAnswer(message));
+}
+
+void Node::OnTruncated(wire::LinkId from, const wire::Frame& frame) {
+  const auto id = wire::DecodeTruncatedId(frame.payload);
+  if (!id) return links_.Refuse(from, id.error().detail);
+  if (frame.kind == wire::FrameKind::kCall) {
+    return serving_.OnTruncatedCall(CallOrigin{from}, *id);
+  }
+  entry_.OnTruncatedAnswer(from, *id, Now());
 }
 
 void Node::ScheduleTick() {
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/admission/admission_control.h"
+#include "core/base/memory_budget.h"
 #include "core/chain/chain_control.h"
 #include "core/config/config_base.h"
 #include "core/rate/grantor_assignment.h"
@@ -122,6 +123,7 @@
   }
   bool stopping() const { return stop_.has_value(); }
   FailureBarrier& barrier() { return barrier_; }
+  const core::base::MemoryBudget& memory() const { return memory_; }
 
  private:
   // Without shards, rate grantors are computed from the members instead of
@@ -167,7 +169,7 @@
   void ApplyCallerLimits();
   bool IsHandedOver() const;
   core::base::Result<std::optional<wire::SentFrame>> SendCall(
-      const core::base::NodeAddress& to, const wire::CallMessage& message);
+      const core::base::NodeAddress& to, wire::CallMessage message);
   // Takes a call back, or asks its serving node to cancel it.
   void CancelCall(const Attempt& attempt);
   // Receives a call for the local backend server. Calls of this node itself
@@ -178,10 +180,15 @@
   void HandleReceivedCalls();
   void HandleReceivedCall(CallInbox::Entry& entry);
   void Reply(const CallOrigin& origin, wire::AnswerMessage message);
+  void SendAnswer(wire::LinkId link, wire::AnswerMessage message);
+  // Handles a call or an answer that there is no memory for.
+  void OnTruncated(wire::LinkId from, const wire::Frame& frame);
+  void AddMetricsSources();
 
   Settings settings_;
   core::base::EventSink emit_;
   FailureBarrier barrier_;
+  core::base::MemoryBudget memory_;  // for messages
   Dialect dialect_;
   core::base::NodeAddress self_;
   wire::LinkPeer self_peer_;
--- a/src/node/node_ports.cc
+++ b/src/node/node_ports.cc
@@ -42,8 +42,8 @@
                                const core::base::RequestId& request) {
     caller_server_.SetRequest(exchange, request);
   };
-  ports.send = [this](const NodeAddress& to, const wire::CallMessage& message) {
-    return SendCall(to, message);
+  ports.send = [this](const NodeAddress& to, wire::CallMessage message) {
+    return SendCall(to, std::move(message));
   };
   ports.cancel = [this](const Attempt& attempt) { CancelCall(attempt); };
   ports.find_context = [this](const std::string& token) {
@@ -120,12 +120,13 @@
   ports.reply = [this](const CallOrigin& origin, wire::AnswerMessage message) {
     Reply(origin, std::move(message));
   };
-  ports.execute = [this](ExecutionIndex index, const http::Request& request,
+  ports.execute = [this](ExecutionIndex index, http::Request request,
                          core::base::Duration timeout) {
-    return backend_client_.Execute(
-        request, timeout, [this, index](http::BackendOutcome outcome) {
-          OnBackendOutcome(index, std::move(outcome));
-        });
+    return backend_client_.Execute(std::move(request), timeout,
+                                   [this, index](http::BackendOutcome outcome) {
+                                     OnBackendOutcome(index,
+                                                      std::move(outcome));
+                                   });
   };
   ports.abort = [this](http::ExecutionId execution, Reason reason) {
     backend_client_.Cancel(execution, reason);
@@ -140,6 +141,7 @@
     if (is_gone) poison_.OnProcessEnded(now);
   };
   AddPoisonPorts(ports);
+  ports.memory = &memory_;
   ports.contain = [this](const std::function<void()>& work) {
     return barrier_.Run("execution", work);
   };
--- a/src/node/process_limits.cc
+++ b/src/node/process_limits.cc
@@ -15,6 +15,7 @@
 using core::stop::StopSettings;
 
 constexpr std::chrono::hours kMaxKillAfter(1);
+constexpr double kMegabyte = 1e6;
 // Time between the end of a shutdown and the kill, for a process that gets
 // little processor time.
 constexpr Duration kKillReserve = std::chrono::milliseconds(500);
@@ -46,7 +47,8 @@
 
 }  // namespace
 
-Result<ProcessLimits> ParseProcessLimits(const std::string& kill_after_s) {
+Result<ProcessLimits> ParseProcessLimits(const std::string& kill_after_s,
+                                         const std::string& memory_mb) {
   ProcessLimits limits;
   const std::chrono::duration<double> longest = kMaxKillAfter;
   const auto seconds =
@@ -56,6 +58,13 @@
     limits.kill_after = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(**seconds));
   }
+  const auto megabytes =
+      ParsePositive("memory_mb", memory_mb, kMaxMemoryBytes / kMegabyte);
+  if (!megabytes) return tl::make_unexpected(megabytes.error());
+  if (*megabytes) {
+    limits.memory_bytes = std::max(
+        kMinMemoryBytes, static_cast<std::size_t>(**megabytes * kMegabyte));
+  }
   return limits;
 }
 
@@ -63,6 +72,9 @@
   if (limits.kill_after) {
     LimitShutdown(settings.shutdown.steps, *limits.kill_after);
   }
+  if (limits.memory_bytes) {
+    settings.identity.memory_bytes = *limits.memory_bytes;
+  }
   return settings;
 }
 
--- a/src/node/serving_base.cc
+++ b/src/node/serving_base.cc
@@ -81,8 +81,15 @@
   if (refusal != Reason::kNone) {
     return ReplyRefusal(origin, message, refusal, Duration(0));
   }
+  // The body of a call of this node is counted with the request of its caller.
+  core::base::MemoryReservation memory(ports_.memory);
+  const bool is_remote = origin.link != wire::LinkId();
+  if (is_remote && !memory.TryResize(message.body.size())) {
+    return ReplyRefusal(origin, message, Reason::kOverloaded, Duration(0));
+  }
   Execution execution;
   execution.origin = origin;
+  execution.memory = std::move(memory);
   execution.received_at = now;
   execution.deadline = now + message.remaining;
   execution.budget =
@@ -173,16 +180,16 @@
   Emit(EventNumber::kExecutionStarted, execution.message, "");
   if (ports_.on_started) ports_.on_started(execution, now);
   execution.backend = ports_.execute(
-      execution.index, MakeRequest(execution, now), execution.deadline - now);
+      execution.index, TakeRequest(execution, now), execution.deadline - now);
 }
 
-http::Request ServingSystem::MakeRequest(const Execution& execution,
+http::Request ServingSystem::TakeRequest(Execution& execution,
                                          TimePoint now) const {
-  const wire::CallMessage& message = execution.message;
+  wire::CallMessage& message = execution.message;
   http::Request request;
   request.method = message.method;
   request.target = message.target;
-  request.body = message.body;
+  request.body = std::move(message.body);
   for (const wire::HeaderField& it : message.headers) {
     request.headers.push_back(http::Header{it.name, it.value});
   }
@@ -270,6 +277,12 @@
   ports_.reply(origin, std::move(answer));
 }
 
+void ServingSystem::OnTruncatedCall(const CallOrigin& origin, CallId call) {
+  wire::CallMessage message;
+  message.call = call;
+  ReplyRefusal(origin, message, Reason::kOverloaded, Duration(0));
+}
+
 void ServingSystem::OnCancel(const CallOrigin& origin, CallId call,
                              TimePoint now) {
   for (const ExecutionIndex index : FindCalls(origin, call)) {
--- a/src/node/serving_base.h
+++ b/src/node/serving_base.h
@@ -28,6 +28,8 @@
   // Handles a call from another node or from the entry system of this node.
   void OnCall(const CallOrigin& origin, wire::CallMessage message,
               TimePoint now);
+  // Refuses a call that there is no memory for.
+  void OnTruncatedCall(const CallOrigin& origin, core::base::CallId call);
   // Cancels a call at the request of its sender.
   void OnCancel(const CallOrigin& origin, core::base::CallId call,
                 TimePoint now);
@@ -74,7 +76,8 @@
   void ReplyFailed(const CallOrigin& origin, core::base::CallId call);
   void RefuseAdmitted(Execution& execution, core::base::Reason reason,
                       TimePoint now);
-  http::Request MakeRequest(const Execution& execution, TimePoint now) const;
+  // Builds the request to the backend server; moves the body out of the call.
+  http::Request TakeRequest(Execution& execution, TimePoint now) const;
   void Refuse(Execution& execution, core::base::Reason reason,
               core::base::Duration retry_after);
   void ReplyRefusal(const CallOrigin& origin, const wire::CallMessage& message,
--- a/src/node/serving_type.h
+++ b/src/node/serving_type.h
@@ -45,7 +45,7 @@
   std::function<void(const CallOrigin&, wire::AnswerMessage)> reply;
   // Starts an execution on the backend server. Its end is reported to
   // ServingSystem::OnBackendOutcome().
-  std::function<http::ExecutionId(ExecutionIndex, const http::Request&,
+  std::function<http::ExecutionId(ExecutionIndex, http::Request,
                                   core::base::Duration timeout)>
       execute;
   // Aborts an execution on the backend server.
@@ -59,6 +59,8 @@
   core::base::EventSink emit;
   Dialect dialect;
 
+  // Budget for the bodies of calls of other nodes; not owned, may be null.
+  core::base::MemoryBudget* memory = nullptr;
   // Runs a piece of work; returns false if it threw an exception, which has
   // been reported. Optional.
   std::function<bool(const std::function<void()>&)> contain;
--- a/src/node/settings_table.cc
+++ b/src/node/settings_table.cc
@@ -139,6 +139,7 @@
       {"node", "operator", kRequired, kAtStart, Endpoint(node, &Identity::operator_address), "address for operators, metrics and announcements of the backend server"},
       {"node", "zone", kRequired, kAtStart, Name(node, &Identity::zone), "availability zone of the VM"},
       {"node", "region", kOptional, kAtStart, Name(node, &Identity::region), "region of the availability zone"},
+      {"node", "memory_bytes", kOptional, kAtStart, Count(kMinMemoryBytes, kMaxMemoryBytes, node, &Identity::memory_bytes), "memory that the process may use; a third of it is for messages"},
       {"peers", "seeds", kOptional, kAtStart, EndpointListSetting{Access(&Settings::seeds)}, "peer addresses of the nodes contacted at start to learn the members"},
       {"peers", "suspicion_min", kOptional, kAtStart, Time(seconds(1), minutes(5), member, &Member::suspicion_min), "time in which a node can refute a suspicion confirmed by several nodes"},
       {"peers", "suspicion_max", kOptional, kAtStart, Time(seconds(1), minutes(5), member, &Member::suspicion_max), "time in which a node can refute a suspicion of one node"},
--- a/src/node/settings_type.h
+++ b/src/node/settings_type.h
@@ -29,6 +29,10 @@
 
 namespace dogwoodrail::node {
 
+// Range of the memory of a process.
+constexpr std::size_t kMinMemoryBytes = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t kMaxMemoryBytes = std::size_t{64} * 1024 * 1024 * 1024;
+
 // Addresses and location of a node, section [node].
 struct IdentitySettings {
   std::string caller_address;    // "ip:port" for callers
@@ -37,6 +41,8 @@
   std::string operator_address;  // "ip:port" for operators and announcements
   core::base::ZoneName zone;
   core::base::RegionName region{"default"};
+  // Memory that the process may use.
+  std::size_t memory_bytes = std::size_t{256} * 1024 * 1024;
 };
 
 // The platform's Object API, section [platform].
--- a/src/wire/call_codec.cc
+++ b/src/wire/call_codec.cc
@@ -215,4 +215,35 @@
   return CallId(cancel->call());
 }
 
+// The id is the first field of both tables. A builder writes a table and its
+// offsets in front of the texts and vectors that the table refers to.
+core::base::Result<CallId> DecodeTruncatedId(const Bytes& beginning) {
+  static_assert(static_cast<int>(fbs::Call::VT_CALL) ==
+                static_cast<int>(fbs::Answer::VT_CALL));
+  const auto malformed = [] {
+    return MakeError(ErrorCode::kCorrupt, "malformed beginning of a message");
+  };
+  const auto fits = [&beginning](std::size_t at, std::size_t bytes) {
+    return at <= beginning.size() && bytes <= beginning.size() - at;
+  };
+  const std::uint8_t* data = beginning.data();
+  if (!fits(0, sizeof(flatbuffers::uoffset_t))) return malformed();
+  const std::size_t table =
+      flatbuffers::ReadScalar<flatbuffers::uoffset_t>(data);
+  if (!fits(table, sizeof(flatbuffers::soffset_t))) return malformed();
+  const std::int64_t offsets =
+      static_cast<std::int64_t>(table) -
+      flatbuffers::ReadScalar<flatbuffers::soffset_t>(data + table);
+  if (offsets < 0) return malformed();
+  const std::size_t entry =
+      static_cast<std::size_t>(offsets) + fbs::Call::VT_CALL;
+  if (!fits(entry, sizeof(flatbuffers::voffset_t))) return malformed();
+  const std::size_t offset =
+      flatbuffers::ReadScalar<flatbuffers::voffset_t>(data + entry);
+  if (offset == 0 || !fits(table + offset, sizeof(std::uint64_t))) {
+    return malformed();
+  }
+  return CallId(flatbuffers::ReadScalar<std::uint64_t>(data + table + offset));
+}
+
 }  // namespace dogwoodrail::wire
--- a/src/wire/call_message.h
+++ b/src/wire/call_message.h
@@ -70,6 +70,14 @@
 core::base::Result<AnswerMessage> DecodeAnswer(const Bytes& payload);
 core::base::Result<core::base::CallId> DecodeCancel(const Bytes& payload);
 
+// Decodes the id of a call or answer of which only the beginning was received.
+core::base::Result<core::base::CallId> DecodeTruncatedId(
+    const Bytes& beginning);
+
+// Largest body of a call. Leaves room for the other fields in a frame.
+constexpr std::size_t kMaxCallBodyBytes =
+    kMaxFrameBytes - std::size_t{512} * 1024;
+
 }  // namespace dogwoodrail::wire
 
 #endif  // DOGWOODRAIL_WIRE_CALL_MESSAGE_H_
--- a/src/wire/frame_func.cc
+++ b/src/wire/frame_func.cc
@@ -1,5 +1,6 @@
 #include "wire/frame_func.h"
 
+#include <algorithm>
 #include <string>
 
 namespace dogwoodrail::wire {
@@ -70,6 +71,15 @@
   buffer_.erase(buffer_.begin(),
                 buffer_.begin() + static_cast<std::ptrdiff_t>(consumed_));
   consumed_ = 0;
+  if (bytes_to_drop_ > 0) {
+    const std::size_t wanted = kFrameLengthBytes + *kept_bytes_;
+    const std::size_t kept = std::min(size, wanted - buffer_.size());
+    buffer_.insert(buffer_.end(), data, data + kept);
+    const std::size_t dropped = std::min(size - kept, bytes_to_drop_);
+    bytes_to_drop_ -= dropped;
+    data += kept + dropped;
+    size -= kept + dropped;
+  }
   buffer_.insert(buffer_.end(), data, data + size);
 }
 
@@ -85,11 +95,42 @@
     return MakeError(ErrorCode::kCorrupt,
                      "invalid frame length " + std::to_string(length));
   }
-  if (available < kFrameLengthBytes + length) return std::nullopt;
-  auto frame = DecodeBody(start + kFrameLengthBytes, length);
+  if (!kept_bytes_) BeginFrame(length);
+  if (buffer_.size() - consumed_ < kFrameLengthBytes + *kept_bytes_ ||
+      bytes_to_drop_ > 0) {
+    return std::nullopt;
+  }
+  auto frame =
+      DecodeBody(buffer_.data() + consumed_ + kFrameLengthBytes, *kept_bytes_);
   if (!frame) return tl::make_unexpected(frame.error());
-  consumed_ += kFrameLengthBytes + length;
+  frame->is_truncated = *kept_bytes_ < length;
+  consumed_ += kFrameLengthBytes + *kept_bytes_;
+  kept_bytes_.reset();
+  if (consumed_ == buffer_.size()) ReleaseBuffer();
   return std::optional<Frame>(std::move(*frame));
 }
 
+// Decides how much of a frame is kept, and drops what has come beyond that.
+void FrameDecoder::BeginFrame(std::size_t length) {
+  const bool has_room =
+      length <= kSmallFrameBytes || !has_room_ || has_room_(length);
+  kept_bytes_ = has_room ? length : kFramePrefixBytes + kTruncatedPayloadBytes;
+  const std::size_t dropped = length - *kept_bytes_;
+  const std::size_t begin = consumed_ + kFrameLengthBytes + *kept_bytes_;
+  const std::size_t received =
+      begin < buffer_.size() ? std::min(dropped, buffer_.size() - begin) : 0;
+  const auto first = buffer_.begin() + static_cast<std::ptrdiff_t>(
+                                           std::min(begin, buffer_.size()));
+  buffer_.erase(first, first + static_cast<std::ptrdiff_t>(received));
+  bytes_to_drop_ = dropped - received;
+}
+
+// A node has a link to most others; what a large frame took must not stay with
+// each of them.
+void FrameDecoder::ReleaseBuffer() {
+  consumed_ = 0;
+  buffer_.clear();
+  if (buffer_.capacity() > 2 * kSmallFrameBytes) Bytes().swap(buffer_);
+}
+
 }  // namespace dogwoodrail::wire
--- a/src/wire/frame_func.h
+++ b/src/wire/frame_func.h
@@ -5,7 +5,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <utility>
 
 #include "core/base/error_type.h"
 #include "wire/frame_type.h"
@@ -37,6 +39,12 @@
 // Splits a byte stream into frames.
 class FrameDecoder {
  public:
+  // Returns true if there is memory for a frame of a size.
+  using RoomCheck = std::function<bool(std::size_t bytes)>;
+
+  // Sets the check that is made once for each frame above kSmallFrameBytes. A
+  // frame for which there is no memory is received truncated.
+  void SetRoomCheck(RoomCheck check) { has_room_ = std::move(check); }
   // Appends received bytes.
   void Append(const std::uint8_t* data, std::size_t size);
 
@@ -45,8 +53,15 @@
   core::base::Result<std::optional<Frame>> Next();
 
  private:
+  void BeginFrame(std::size_t length);
+  void ReleaseBuffer();
+
+  RoomCheck has_room_;
   Bytes buffer_;
   std::size_t consumed_ = 0;
+  // Of the frame that is being received; empty until its length is known.
+  std::optional<std::size_t> kept_bytes_;
+  std::size_t bytes_to_drop_ = 0;  // still to be received
 };
 
 }  // namespace dogwoodrail::wire
--- a/src/wire/frame_type.h
+++ b/src/wire/frame_type.h
@@ -35,10 +35,17 @@
 // headers.
 constexpr std::size_t kMaxFrameBytes = 9U * std::size_t{1024} * 1024;
 
+// Frames of this size or less are received whatever memory there is.
+constexpr std::size_t kSmallFrameBytes = std::size_t{64} * 1024;
+// Size of the payload of a truncated frame.
+constexpr std::size_t kTruncatedPayloadBytes = 1024;
+
 // Decoded frame.
 struct Frame {
   FrameKind kind;
   Bytes payload;
+  // The payload is only the beginning: there was no memory for all of it.
+  bool is_truncated = false;
 };
 
 }  // namespace dogwoodrail::wire
--- a/src/wire/link.cc
+++ b/src/wire/link.cc
@@ -28,12 +28,17 @@
 }  // namespace
 
 Links::Link::Link(asio::io_context& loop, LinkId id, LinkSettings settings,
-                  Hooks hooks, ReadBuffer& read_buf)
+                  Hooks hooks, ReadBuffer& read_buf,
+                  core::base::MemoryBudget* memory)
     : socket_(loop),
       id_(id),
       settings_(settings),
       hooks_(std::move(hooks)),
-      read_buf_(read_buf) {
+      read_buf_(read_buf),
+      queue_memory_(memory),
+      received_memory_(memory) {
+  decoder_.SetRoomCheck(
+      [this](std::size_t bytes) { return received_memory_.TryResize(bytes); });
   if (!settings_.compress) return;
   deflater_ = std::make_unique<StreamDeflater>();
   inflater_ = std::make_unique<StreamInflater>();
@@ -87,11 +92,18 @@
   if (closed_ || closing_) {
     return MakeError(ErrorCode::kUnavailable, "link closed");
   }
+  if (frame.size() > kFrameLengthBytes + kMaxFrameBytes) {
+    return MakeError(ErrorCode::kInvalidArgument, "frame too large");
+  }
   if (queued_bytes_ + frame.size() > settings_.max_queued_bytes) {
     return MakeError(ErrorCode::kUnavailable, "link queue full");
   }
+  const bool is_small = frame.size() <= kSmallFrameBytes;
+  if (!is_small && !queue_memory_.TryResize(queued_bytes_ + frame.size())) {
+    return MakeError(ErrorCode::kUnavailable, "no memory for the frame");
+  }
   if (KindOf(frame) == FrameKind::kCall) ++open_calls_;
-  queued_bytes_ += frame.size();
+  SetQueuedBytes(queued_bytes_ + frame.size());
   queue_.push_back(std::move(frame));
   last_payload_ = Clock::now();
   const FrameSequence sequence(next_sequence_++);
@@ -103,12 +115,17 @@
   if (closed_ || sequence.value() < next_write_) return false;
   Bytes& queued = queue_.at(sequence.value() - next_write_);
   if (open_calls_ > 0) --open_calls_;
-  queued_bytes_ += frame.size();
-  queued_bytes_ -= std::min(queued.size(), queued_bytes_);
+  SetQueuedBytes(queued_bytes_ + frame.size() -
+                 std::min(queued.size(), queued_bytes_));
   queued = std::move(frame);
   return true;
 }
 
+void Links::Link::SetQueuedBytes(std::size_t bytes) {
+  queued_bytes_ = bytes;
+  queue_memory_.Resize(bytes);
+}
+
 // Defers the write until the event loop has run its ready handlers, so that
 // under load one write and one compression flush cover many frames.
 void Links::Link::ScheduleWrite() {
@@ -176,6 +193,7 @@
     ++frames_received_;
     if (closing_ && (*frame)->kind == FrameKind::kCall) continue;
     if ((*frame)->kind == FrameKind::kAnswer && open_calls_ > 0) --open_calls_;
+    received_memory_.Resize(0);  // the handler reserves what it keeps
     hooks_.on_frame(*this, **frame);
   }
   return !closed_;
@@ -209,8 +227,8 @@
       [self = shared_from_this()](const error_code& ec, std::size_t /*n*/) {
         self->write_in_progress_ = false;
         self->write_batch_.clear();
-        self->queued_bytes_ -=
-            std::min(self->write_bytes_, self->queued_bytes_);
+        self->SetQueuedBytes(self->queued_bytes_ -
+                             std::min(self->write_bytes_, self->queued_bytes_));
         if (self->closed_) return;
         if (ec) {
           self->Close("write: " + ec.message());
@@ -251,7 +269,7 @@
   pinged_ = now;
   queue_.push_back(ping);
   ++next_sequence_;
-  queued_bytes_ += ping.size();
+  SetQueuedBytes(queued_bytes_ + ping.size());
   Write();
 }
 
@@ -260,7 +278,7 @@
 void Links::Link::BeginClose(Bytes last) {
   if (closed_ || closing_) return;
   if (!connected_) return Close("closing");
-  queued_bytes_ += last.size();
+  SetQueuedBytes(queued_bytes_ + last.size());
   queue_.push_back(std::move(last));
   ++next_sequence_;
   closing_ = true;
@@ -276,6 +294,8 @@
 void Links::Link::Close(const std::string& cause) {
   if (closed_) return;
   closed_ = true;
+  queue_memory_.Resize(0);
+  received_memory_.Resize(0);
   error_code ec;
   socket_.close(ec);
   hooks_.on_lost(*this, cause);
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -31,8 +31,9 @@
   };
 
   // `read_buf` is shared by all links, which use it in turn.
+  // `memory` is the budget for large frames; not owned, may be null.
   Link(boost::asio::io_context& loop, LinkId id, LinkSettings settings,
-       Hooks hooks, ReadBuffer& read_buf);
+       Hooks hooks, ReadBuffer& read_buf, core::base::MemoryBudget* memory);
 
   // Starts a link on an accepted connection.
   void StartAccepted(boost::asio::ip::tcp::socket socket, Bytes hello);
@@ -93,6 +94,8 @@
   // Handles all complete frames received so far. Returns false if the link has
   // been closed.
   bool HandleFrames();
+  // Sets the number of queued bytes, which are held in any case.
+  void SetQueuedBytes(std::size_t bytes);
   void ScheduleWrite();
   void Write();
   // Reports the frames of the batch with their part of the bytes to be written.
@@ -113,6 +116,8 @@
   std::unique_ptr<StreamDeflater> deflater_;  // set if compression is enabled
   std::unique_ptr<StreamInflater> inflater_;
   std::size_t queued_bytes_ = 0;
+  core::base::MemoryReservation queue_memory_;     // for queued_bytes_
+  core::base::MemoryReservation received_memory_;  // for a frame being received
   std::size_t open_calls_ = 0;  // calls queued and not answered yet
   std::uint64_t next_sequence_ = 0;
   std::uint64_t next_write_ = 0;
--- a/src/wire/links.cc
+++ b/src/wire/links.cc
@@ -183,8 +183,8 @@
                          std::uint64_t bytes) {
     if (traffic_ != nullptr) traffic_->Count(kind, scope, bytes);
   };
-  auto link =
-      std::make_shared<Link>(loop_, id, settings_, std::move(hooks), read_buf_);
+  auto link = std::make_shared<Link>(loop_, id, settings_, std::move(hooks),
+                                     read_buf_, memory_);
   links_[id] = link;
   return link;
 }
@@ -231,11 +231,21 @@
     if (closing == nullptr) return Refuse(link.id(), "malformed Closing");
     return link.SetFramesHandled(closing->frames_handled());
   }
+  if (frame.is_truncated) return OnTruncated(link, frame);
   const auto it = handlers_.find(static_cast<std::uint8_t>(frame.kind));
   if (it == handlers_.end()) return Refuse(link.id(), "unknown frame kind");
   it->second(link.id(), frame.payload);
 }
 
+void Links::OnTruncated(Link& link, const Frame& frame) {
+  const bool is_known =
+      frame.kind == FrameKind::kCall || frame.kind == FrameKind::kAnswer;
+  if (!is_known || !on_truncated_) {
+    return Refuse(link.id(), "no memory for the frame");
+  }
+  on_truncated_(link.id(), frame);
+}
+
 void Links::OnLost(Link& link, const std::string& cause) {
   const auto keep_alive = link.shared_from_this();
   links_.erase(link.id());
--- a/src/wire/links.h
+++ b/src/wire/links.h
@@ -13,6 +13,7 @@
 
 #include "core/base/error_type.h"
 #include "core/base/id_type.h"
+#include "core/base/memory_budget.h"
 #include "core/base/time_type.h"
 #include "wire/frame_type.h"
 #include "wire/traffic.h"
@@ -70,6 +71,7 @@
  public:
   using FrameHandler = std::function<void(LinkId from, const Bytes& payload)>;
   using LossHandler = std::function<void(const LinkLoss&)>;
+  using TruncatedHandler = std::function<void(LinkId from, const Frame&)>;
   // Receives protocol errors for the event log.
   using RefusalHandler =
       std::function<void(const LinkPeer&, const std::string& cause)>;
@@ -112,6 +114,14 @@
   const LinkPeer* PeerOf(LinkId link) const;
   // Reports a protocol error of a link and closes it.
   void Refuse(LinkId link, const std::string& cause);
+  // Sets the budget for frames that are queued or being received; not owned,
+  // may be null. To be set before the first link.
+  void SetMemoryBudget(core::base::MemoryBudget* memory) { memory_ = memory; }
+  // Sets the handler of calls and answers that were received truncated, for
+  // want of memory. A link is closed if it receives one of another kind.
+  void SetTruncatedHandler(TruncatedHandler handler) {
+    on_truncated_ = std::move(handler);
+  }
   // Counts what is sent on links; not owned, may be null.
   void SetTraffic(Traffic* traffic) { traffic_ = traffic; }
   // Number of open links.
@@ -129,6 +139,7 @@
   std::shared_ptr<Link> MakeLink();
   std::shared_ptr<Link> Open(const core::base::NodeAddress& to);
   void OnFrame(Link& link, const Frame& frame);
+  void OnTruncated(Link& link, const Frame& frame);
   void OnLost(Link& link, const std::string& cause);
   void ScheduleTick();
   void Tick();
@@ -147,6 +158,8 @@
   Traffic* traffic_ = nullptr;
   LossHandler on_loss_;
   RefusalHandler on_refusal_;
+  TruncatedHandler on_truncated_;
+  core::base::MemoryBudget* memory_ = nullptr;
   bool closing_ = false;
   bool draining_ = false;  // set by BeginClose()
 };
--- a/tests/integration/platform/common/fleet.cc
+++ b/tests/integration/platform/common/fleet.cc
@@ -54,7 +54,8 @@
 }  // namespace
 
 PlatformFleet::PlatformFleet(const std::string& name,
-                             std::vector<std::string> services)
+                             std::vector<std::string> services,
+                             std::size_t slots)
     : directory_(MakeTestDirectory(name)),
       work_(boost::asio::make_work_guard(loop_)),
       store_(loop_, store_port_) {
@@ -65,6 +66,7 @@
     vm.service = std::move(service);
     InstanceSpec spec;
     spec.service = vm.service;
+    spec.slots = slots;
     spec.port = vm.instance_port;
     spec.control_port = vm.control_port;
     vm.instance = std::make_unique<PlatformInstance>(loop_, spec);
--- a/tests/integration/platform/common/fleet.h
+++ b/tests/integration/platform/common/fleet.h
@@ -27,8 +27,10 @@
 // idempotent and needs none.
 class PlatformFleet {
  public:
-  // `services` has the service of each node.
-  PlatformFleet(const std::string& name, std::vector<std::string> services);
+  // `services` has the service of each node; `slots` is how many requests each
+  // instance takes at a time.
+  PlatformFleet(const std::string& name, std::vector<std::string> services,
+                std::size_t slots = InstanceSpec().slots);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
--- a/tests/integration/platform/common/instance.cc
+++ b/tests/integration/platform/common/instance.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <optional>
 #include <utility>
 
 namespace dogwoodrail::integration {
@@ -18,6 +19,7 @@
 
 constexpr std::chrono::milliseconds kHeartbeatInterval{500};
 constexpr std::chrono::milliseconds kHeartbeatTimeout{900};
+constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024 * 1024;
 constexpr const char* kCrashWord = "crash";
 constexpr const char* kHealthPath = "/healthz";
 
@@ -38,11 +40,13 @@
         timer_(socket_.get_executor()) {}
 
   void Read() {
-    request_ = {};
+    parser_.emplace();
+    parser_->body_limit(kMaxBodyBytes);
     beast::http::async_read(
-        socket_, buffer_, request_,
+        socket_, buffer_, *parser_,
         [self = shared_from_this()](const error_code& ec, std::size_t) {
           if (ec) return self->Close();
+          self->request_ = self->parser_->release();
           self->OnRequest();
         });
   }
@@ -98,6 +102,7 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   beast::flat_buffer buffer_;
+  std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
   beast::http::request<beast::http::string_body> request_;
   std::vector<InstanceStep> steps_;
   std::size_t next_step_ = 0;
--- a/tests/unit/http/caller_session_test.cc
+++ b/tests/unit/http/caller_session_test.cc
@@ -383,6 +383,45 @@
   BOOST_TEST(failures.size() == 1U);
 }
 
+// What finds no memory is refused before it is read, and the rest of the bodies
+// is served.
+BOOST_AUTO_TEST_CASE(body_without_memory_is_refused_unrun) {
+  constexpr std::size_t kLimit = 200'000;
+  core::base::MemoryBudget memory(kLimit);
+  server.SetMemoryBudget(&memory);
+  for (const std::string length : {"Content-Length: 150000\r\n\r\n",
+                                   "Transfer-Encoding: chunked\r\n\r\n"}) {
+    caller = tcp::socket(loop);
+    caller.connect({asio::ip::address_v4::loopback(), port});
+    caller.non_blocking(true);
+    Run(kStep);
+    BOOST_TEST(Send("POST /later HTTP/1.1\r\nHost: test\r\n" + length));
+    if (length.rfind("Transfer", 0) == 0) {
+      BOOST_TEST(Send("249f0\r\n" + std::string(150'000, 'x')));
+    }
+    Run(kStep);
+    BOOST_TEST(Receive().rfind("HTTP/1.1 400", 0) == 0U);
+    BOOST_TEST((reasons.back() == Reason::kMemoryExhausted));
+    BOOST_TEST(memory.used() == 0U);
+  }
+  BOOST_TEST(kept.empty());
+  caller = tcp::socket(loop);
+  caller.connect({asio::ip::address_v4::loopback(), port});
+  caller.non_blocking(true);
+  BOOST_TEST(
+      Send("POST /later HTTP/1.1\r\nHost: test\r\n"
+           "Content-Length: 50000\r\n\r\n" +
+           std::string(50'000, 'x')));
+  Run(kStep);
+  BOOST_REQUIRE(kept.size() == 1U);
+  BOOST_TEST(memory.used() == 100'000U);
+  BOOST_TEST(server.Answer(kept.front(), MakeResponse(200)));
+  Run(kStep);
+  BOOST_TEST(Receive().rfind("HTTP/1.1 200", 0) == 0U);
+  BOOST_TEST(memory.used() == 0U);
+  server.Close();
+}
+
 // HTTP forbids it, and the library throws when it is passed on.
 BOOST_AUTO_TEST_CASE(trace_with_a_body_is_refused) {
   BOOST_TEST(
--- a/tests/unit/settings/process_limits_test.cc
+++ b/tests/unit/settings/process_limits_test.cc
@@ -21,7 +21,7 @@
   settings.shutdown.steps.leave_after = seconds(2);
   settings.shutdown.steps.idle_grace = milliseconds(2200);
   settings.shutdown.steps.serve_grace = milliseconds(500);
-  const auto limits = ParseProcessLimits(kill_after_s);
+  const auto limits = ParseProcessLimits(kill_after_s, "");
   BOOST_REQUIRE(limits.has_value());
   return WithLimits(settings, *limits).shutdown.steps;
 }
@@ -59,7 +59,19 @@
 BOOST_DATA_TEST_CASE(invalid_limit_is_an_error,
                      data::make({"0", "-1", "x", "6s", "1e9", "nan", "inf",
                                  " 6"})) {
-  BOOST_TEST(!ParseProcessLimits(sample).has_value());
+  BOOST_TEST(!ParseProcessLimits(sample, "").has_value());
+  BOOST_TEST(!ParseProcessLimits("", sample).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(memory_goes_before_the_settings) {
+  const auto none = ParseProcessLimits("", "");
+  BOOST_REQUIRE(none.has_value());
+  BOOST_TEST(WithLimits(Settings(), *none).identity.memory_bytes ==
+             Settings().identity.memory_bytes);
+  const auto some = ParseProcessLimits("", "160");
+  BOOST_REQUIRE(some.has_value());
+  BOOST_TEST(WithLimits(Settings(), *some).identity.memory_bytes ==
+             160'000'000U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/wire/frame_test.cc
+++ b/tests/unit/wire/frame_test.cc
@@ -1,6 +1,9 @@
 #include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
 
 #include "wire/call_generated.h"
+#include "wire/call_message.h"
 #include "wire/frame_func.h"
 
 namespace dogwoodrail::wire {
@@ -71,6 +74,72 @@
   }
 }
 
+// A frame for which there is no memory is dropped but for its beginning, and
+// the frames behind it are read as ever.
+BOOST_AUTO_TEST_CASE(frame_without_memory_is_received_truncated) {
+  CallMessage call;
+  call.call = core::base::CallId(0x123456789abcdefU);
+  call.body = std::string(200'000, 'x');
+  AnswerMessage answer;
+  answer.call = core::base::CallId(42);
+  answer.body = call.body;
+  Bytes stream = EncodePingFrame();
+  for (const Bytes& it :
+       {EncodeCall(call), EncodePingFrame(), EncodeAnswer(answer),
+        EncodeAnswer(answer), EncodePingFrame()}) {
+    stream.insert(stream.end(), it.begin(), it.end());
+  }
+  for (const std::size_t read_size :
+       {std::size_t{1}, std::size_t{7}, std::size_t{1030}, std::size_t{65536},
+        stream.size()}) {
+    FrameDecoder decoder;
+    std::size_t checks = 0;
+    decoder.SetRoomCheck([&checks](std::size_t) { return ++checks == 3; });
+    std::vector<std::string> found;
+    for (std::size_t at = 0; at < stream.size(); at += read_size) {
+      decoder.Append(stream.data() + at,
+                     std::min(read_size, stream.size() - at));
+      for (auto f = decoder.Next(); f && *f; f = decoder.Next()) {
+        const Frame& frame = **f;
+        if (frame.kind == FrameKind::kPing) {
+          found.push_back("ping");
+        } else if (frame.is_truncated) {
+          BOOST_TEST(frame.payload.size() <= kTruncatedPayloadBytes);
+          const auto id = DecodeTruncatedId(frame.payload);
+          BOOST_REQUIRE(id.has_value());
+          found.push_back(std::to_string(id->value()));
+        } else {
+          BOOST_TEST(DecodeAnswer(frame.payload)->body == answer.body);
+          found.push_back("whole");
+        }
+      }
+    }
+    const std::vector<std::string> expected = {
+        "ping", std::to_string(call.call.value()), "ping", "42", "whole",
+        "ping"};
+    BOOST_TEST(found == expected, boost::test_tools::per_element());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(beginning_that_is_no_message_has_no_id) {
+  CallMessage call;
+  const Bytes frame = EncodeCall(call);
+  const Bytes payload(frame.begin() + kFrameLengthBytes + kFramePrefixBytes,
+                      frame.end());
+  for (std::size_t n = 0; n < payload.size(); ++n) {
+    (void)DecodeTruncatedId(Bytes(payload.begin(), payload.begin() + n));
+  }
+  for (std::size_t at = 0; at < payload.size(); ++at) {
+    for (const std::uint8_t value : {0x00, 0x7f, 0x80, 0xff}) {
+      Bytes odd = payload;
+      odd[at] = value;
+      (void)DecodeTruncatedId(odd);
+    }
+  }
+  BOOST_TEST(!DecodeTruncatedId({}).has_value());
+  BOOST_TEST(!DecodeTruncatedId(Bytes(100, 0xff)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
