A message without room is no fault of another node

A call that this node has no memory for, or that fits into no frame, counted as a failure of the node it was meant for, so that a few large messages could eject nodes that were sound. Such an error has a code of its own now and is neutral. An answer for which there is no room is logged as a refusal with an unknown outcome (102) in place of an unforeseen exception (915).

--- a/src/core/base/error_type.h
+++ b/src/core/base/error_type.h
@@ -14,7 +14,8 @@
   kUnavailable,     // not reachable; not known to have had any effect
   kOutcomeUnknown,  // sent, but it is unknown whether it took effect
   kTimeout,
-  kCorrupt,  // data failed verification
+  kCorrupt,    // data failed verification
+  kExhausted,  // this process has no room for it
 };
 
 // Error kind with a detail text.
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -42,10 +42,12 @@
   std::function<Response(core::base::Reason, const std::string& detail)>
       on_malformed;
   // on_request threw an exception, or the response to the exchange cannot be
-  // written. Ends what is held for the exchange, and builds the response, which
-  // must not say that the request has not run. Optional.
-  std::function<Response(ExchangeId, const std::string& cause)> on_failed =
-      nullptr;
+  // written (both kInternal), or there is no memory for the response. Ends what
+  // is held for the exchange, and builds the response, which must not say that
+  // the request has not run. Optional.
+  std::function<Response(ExchangeId, core::base::Reason,
+                         const std::string& cause)>
+      on_failed = nullptr;
   // A connection ended and is about to be closed; optional.
   std::function<void(const ConnectionClose&)> on_closed = nullptr;
 };
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -281,16 +281,17 @@
   const bool is_answered = finished_ || phase_ != Phase::kExchange;
   server_.exchanges_.erase(exchange_);
   exchange_open_ = false;
-  Response response = MakeFailure(cause);
+  Response response = MakeFailure(Reason::kInternal, cause);
   if (is_answered) return;
   error_code ec;
   stream_.socket().cancel(ec);
   Write(std::move(response), false, CloseCause::kResponseSent);
 }
 
-Response CallerServer::Session::MakeFailure(const std::string& cause) {
+Response CallerServer::Session::MakeFailure(Reason reason,
+                                            const std::string& cause) {
   if (server_.hooks_.on_failed) {
-    return server_.hooks_.on_failed(exchange_, cause);
+    return server_.hooks_.on_failed(exchange_, reason, cause);
   }
   Response response;
   response.status = kInternalError;
@@ -348,12 +349,14 @@
   request_memory_.Resize(0);
   if (!response_memory_.TryResize(response.body.size())) {
     keep_alive = false;
-    response = MakeFailure("no memory for the response");
+    response =
+        MakeFailure(Reason::kMemoryExhausted, "no memory for the response");
   }
   auto message = EncodeResponse(std::move(response), keep_alive);
   if (!message) {
     keep_alive = false;
-    message = EncodeResponse(MakeFailure(message.error().detail), keep_alive);
+    message = EncodeResponse(
+        MakeFailure(Reason::kInternal, message.error().detail), keep_alive);
   }
   if (!message) return Finish(CloseCause::kWriteError);
   close_after_write_ = cause;
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -70,7 +70,7 @@
   void Dispatch();
   // Ends an exchange that cannot be served because of an unforeseen exception.
   void OnFailed(const std::string& cause);
-  Response MakeFailure(const std::string& cause);
+  Response MakeFailure(core::base::Reason reason, const std::string& cause);
   void WatchForDisconnect();
   // Returns how the caller has ended the connection, or nullopt if it has not
   // or if more bytes are to be read first.
--- a/src/node/entry_attempt.cc
+++ b/src/node/entry_attempt.cc
@@ -102,13 +102,12 @@
   const auto sent = ports_.send(
       attempt.to, MakeCallMessage(call, attempt.id, share.count, now));
   if (!sent) {
-    // A call that is too large for one other node is too large for all.
-    const bool is_too_large = sent.error().code == ErrorCode::kInvalidArgument;
+    // No fault of the other node, and no other one would help.
+    const bool is_own = sent.error().code == ErrorCode::kExhausted;
+    EndAttempt(call, is_own ? CallResult::kCancelled : CallResult::kFailed,
+               std::nullopt, now);
     const Reason reason =
-        is_too_large ? Reason::kMemoryExhausted : Reason::kConnectionLost;
-    const CallResult result =
-        is_too_large ? CallResult::kOk : CallResult::kFailed;
-    EndAttempt(call, result, std::nullopt, now);
+        is_own ? Reason::kMemoryExhausted : Reason::kConnectionLost;
     return OnAttemptFailed(call, {Ran::kNotRun, reason, Duration(0), false},
                            now);
   }
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -115,7 +115,8 @@
     hooks.on_malformed = [](core::base::Reason, const std::string& detail) {
       return MakeTextResponse(kBadRequest, "text/plain", detail + "\n");
     };
-    hooks.on_failed = [this](http::ExchangeId, const std::string& cause) {
+    hooks.on_failed = [this](http::ExchangeId, core::base::Reason,
+                             const std::string& cause) {
       node_->barrier().Report("platform_request", cause);
       return MakeTextResponse(kInternalError, "text/plain", "");
     };
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -384,7 +384,7 @@
     return std::nullopt;
   }
   if (message.body.size() > wire::kMaxCallBodyBytes) {
-    return MakeError(ErrorCode::kInvalidArgument, "body too large for a frame");
+    return MakeError(ErrorCode::kExhausted, "body too large for a frame");
   }
   auto sent = links_.Send(to, wire::EncodeCall(message));
   if (!sent) return tl::make_unexpected(sent.error());
@@ -473,8 +473,9 @@
   });
   barrier_.Run("rate_tick", [&] { rates_.Tick(now); });
   barrier_.Run("poison_tick", [&] { poison_.Tick(now); });
-  if (settings_.chain.enabled)
+  if (settings_.chain.enabled) {
     barrier_.Run("chain_tick", [&] { TickChain(now); });
+  }
   for (const auto& it : tick_handlers_) {
     barrier_.Run("added_tick", [&] { it(now); });
   }
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -134,6 +134,10 @@
   void OnBackendOutcome(ExecutionIndex index, http::BackendOutcome outcome);
   ServingPorts MakeServingPorts();
   http::CallerServerHooks MakeCallerHooks();
+  // Ends a request that failed inside this node; its outcome is unknown.
+  http::Response FailRequest(http::ExchangeId exchange,
+                             core::base::Reason reason,
+                             const std::string& cause);
   void AddChainPorts(EntryPorts& ports);
   void AddChainPorts(ServingPorts& ports);
   // Returns how long a call may be queued for the backend server, if its route
--- a/src/node/node_ports.cc
+++ b/src/node/node_ports.cc
@@ -258,6 +258,22 @@
   return owners;
 }
 
+http::Response Node::FailRequest(http::ExchangeId exchange, Reason reason,
+                                 const std::string& cause) {
+  if (reason == Reason::kInternal) barrier_.Report("request", cause);
+  barrier_.Run("failed_request", [&] { entry_.OnCancel(exchange, Now()); });
+  RefusalReply reply;
+  reply.reason = reason;
+  reply.ran = core::base::Ran::kUnknown;
+  reply.request = MakeRequestId(WallNow());
+  emit_({EventNumber::kRequestRefused,
+         reply.request,
+         {},
+         "reason=" + std::string(core::base::GetReasonSpec(reason).code) +
+             " ran=unknown cause=" + cause});
+  return dialect_.make_refusal(reply);
+}
+
 http::CallerServerHooks Node::MakeCallerHooks() {
   http::CallerServerHooks hooks;
   hooks.on_request = [this](http::ExchangeId exchange, http::Request request) {
@@ -280,14 +296,9 @@
            "reason=" + std::string(core::base::GetReasonSpec(reason).code)});
     return dialect_.make_refusal(reply);
   };
-  hooks.on_failed = [this](http::ExchangeId exchange,
+  hooks.on_failed = [this](http::ExchangeId exchange, Reason reason,
                            const std::string& cause) {
-    barrier_.Report("request", cause);
-    barrier_.Run("failed_request", [&] { entry_.OnCancel(exchange, Now()); });
-    RefusalReply reply;
-    reply.ran = core::base::Ran::kUnknown;
-    reply.request = MakeRequestId(WallNow());
-    return dialect_.make_refusal(reply);
+    return FailRequest(exchange, reason, cause);
   };
   hooks.on_closed = [this](const http::ConnectionClose& close) {
     metrics_.OnConnectionClosed(close);
--- a/src/wire/link.cc
+++ b/src/wire/link.cc
@@ -93,14 +93,14 @@
     return MakeError(ErrorCode::kUnavailable, "link closed");
   }
   if (frame.size() > kFrameLengthBytes + kMaxFrameBytes) {
-    return MakeError(ErrorCode::kInvalidArgument, "frame too large");
+    return MakeError(ErrorCode::kExhausted, "frame too large");
   }
   if (queued_bytes_ + frame.size() > settings_.max_queued_bytes) {
     return MakeError(ErrorCode::kUnavailable, "link queue full");
   }
   const bool is_small = frame.size() <= kSmallFrameBytes;
   if (!is_small && !queue_memory_.TryResize(queued_bytes_ + frame.size())) {
-    return MakeError(ErrorCode::kUnavailable, "no memory for the frame");
+    return MakeError(ErrorCode::kExhausted, "no memory for the frame");
   }
   if (KindOf(frame) == FrameKind::kCall) ++open_calls_;
   SetQueuedBytes(queued_bytes_ + frame.size());
--- a/tests/integration/platform/memory_test.cc
+++ b/tests/integration/platform/memory_test.cc
@@ -111,6 +111,7 @@
       BOOST_TEST(peak < kMemoryBytes);
       BOOST_TEST(fleet.LogLine(it, " 802 ", "cause=refused frame").empty());
       BOOST_TEST(fleet.LogLine(it, " 803 ", "").empty());
+      BOOST_TEST(fleet.Metric(it, "dogwoodrail_handler_failures_total") == 0);
       BOOST_TEST(WaitUntil(seconds(3), [&] {
         return fleet.Metric(it, "dogwoodrail_message_bytes") < kPartBytes;
       }));
--- a/tests/unit/http/caller_session_test.cc
+++ b/tests/unit/http/caller_session_test.cc
@@ -64,7 +64,7 @@
       reasons.push_back(reason);
       return MakeResponse(400);
     };
-    hooks.on_failed = [this](ExchangeId, const std::string& cause) {
+    hooks.on_failed = [this](ExchangeId, Reason, const std::string& cause) {
       failures.push_back(cause);
       return MakeResponse(502);
     };
