--- a/tests/integration/platform/memory_test.cc
+++ b/tests/integration/platform/memory_test.cc
@@ -24,7 +24,7 @@
 constexpr const char* kMemoryFlag = "--memory_mb=160";
 constexpr std::size_t kMemoryBytes = 160'000'000;
 constexpr std::size_t kBodyBytes = 8'000'000;
-constexpr std::size_t kPartBytes = 64 * 1024;
+constexpr std::size_t kPartBytes = std::size_t{64} * 1024;
 constexpr int kCallers = 160;
 constexpr std::size_t kSlots = 200;
 // Callers that have a large answer begin to read it after this time.
@@ -78,12 +78,14 @@
   std::map<int, int> Play(const std::string& method, const std::string& body) {
     std::atomic<bool> is_over{false};
     std::vector<std::thread> small;
+    small.reserve(kSmallCallers);
     for (int it = 0; it < kSmallCallers; ++it) {
       small.emplace_back([this, &is_over] { SendSmall(is_over); });
     }
     std::mutex mutex;
     std::map<int, int> statuses;
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int it = 0; it < kCallers; ++it) {
       callers.emplace_back([&, it] {
         const std::string path = "/read/large-" + std::to_string(it);
@@ -116,11 +118,11 @@
         return fleet.Metric(it, "dogwoodrail_message_bytes") < kPartBytes;
       }));
     }
-    BOOST_TEST_MESSAGE(small_served << " of " << small_sent
-                                    << " small requests served");
-    BOOST_TEST(small_sent > kSmallCallers);
-    BOOST_TEST(small_lost == 0);
-    BOOST_TEST(small_failed == 0);
+    BOOST_TEST_MESSAGE(small_served_ << " of " << small_sent_
+                                     << " small requests served");
+    BOOST_TEST(small_sent_ > kSmallCallers);
+    BOOST_TEST(small_lost_ == 0);
+    BOOST_TEST(small_failed_ == 0);
     BOOST_TEST(fleet.Send(0, "GET", "/read/small-after").status == 200);
   }
 
@@ -135,23 +137,23 @@
       const std::string path = "/read/small";
       connection.Send(fleet.MakeRequest("GET", path).Serialize());
       const RawResponse response = connection.ReadResponse(kAnswerTimeout);
-      ++small_sent;
+      ++small_sent_;
       if (!response.complete) {
-        ++small_lost;
+        ++small_lost_;
         return;
       }
       const bool is_served = response.status == 200 && response.body == path;
-      if (is_served) ++small_served;
+      if (is_served) ++small_served_;
       // A refusal is true and can be repeated: the instances are busy.
-      if (!is_served && response.status != 503) ++small_failed;
+      if (!is_served && response.status != 503) ++small_failed_;
       if (response.Header("Connection") == "close") return;
     }
   }
 
-  std::atomic<int> small_sent{0};
-  std::atomic<int> small_served{0};
-  std::atomic<int> small_lost{0};
-  std::atomic<int> small_failed{0};
+  std::atomic<int> small_sent_{0};
+  std::atomic<int> small_served_{0};
+  std::atomic<int> small_lost_{0};
+  std::atomic<int> small_failed_{0};
 };
 
 // Steps that send a part again and again, after a head.
@@ -256,7 +258,7 @@
     return InstanceAnswer{
         true, {{milliseconds(50), PlatformInstance::SuccessText(request)}}};
   });
-  constexpr std::size_t kTooLarge = 12U * 1024 * 1024;
+  constexpr std::size_t kTooLarge = std::size_t{12} * 1024 * 1024;
   const auto statuses = it.Play("POST", std::string(kTooLarge, 'x'));
   BOOST_TEST(CountOf(statuses, {200, 503}) == kCallers);
   it.Check();
--- a/tests/integration/platform/odd_entry_test.cc
+++ b/tests/integration/platform/odd_entry_test.cc
@@ -124,6 +124,7 @@
   }
   std::atomic<int> served{0};
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int it = 0; it < kCallers; ++it) {
     callers.emplace_back([&fleet, &served, it] {
       const std::string path = "/read/held-" + std::to_string(it);
