--- a/tests/unit/wire/frame_test.cc
+++ b/tests/unit/wire/frame_test.cc
@@ -127,7 +127,9 @@
   const Bytes payload(frame.begin() + kFrameLengthBytes + kFramePrefixBytes,
                       frame.end());
   for (std::size_t n = 0; n < payload.size(); ++n) {
-    (void)DecodeTruncatedId(Bytes(payload.begin(), payload.begin() + n));
+    Bytes beginning = payload;
+    beginning.resize(n);
+    (void)DecodeTruncatedId(beginning);
   }
   for (std::size_t at = 0; at < payload.size(); ++at) {
     for (const std::uint8_t value : {0x00, 0x7f, 0x80, 0xff}) {
