--- a/src/node/process_limits.cc
+++ b/src/node/process_limits.cc
@@ -19,6 +19,12 @@
 // Time between the end of a shutdown and the kill, for a process that gets
 // little processor time.
 constexpr Duration kKillReserve = std::chrono::milliseconds(500);
+// The reserve of a short time until the kill is this part of it.
+constexpr int kKillReserveDivisor = 12;
+// Longest parts of a shutdown until the other nodes are notified and until
+// connections are closed, in tenths, and that in which calls are still served.
+constexpr int kMaxStepTenths = 4;
+constexpr int kTenths = 10;
 
 // Parses a positive number that spans the entire text; empty for an empty text.
 Result<std::optional<double>> ParsePositive(const char* flag,
@@ -39,10 +45,12 @@
 // Fits a shutdown into the time until the process is killed. What comes before
 // the deadline keeps its share of a time that is shorter.
 void LimitShutdown(StopSettings& steps, Duration kill_after) {
-  steps.deadline = kill_after - std::min(kKillReserve, kill_after / 12);
-  steps.idle_grace = std::min(steps.idle_grace, steps.deadline * 2 / 5);
-  steps.leave_after = std::min(steps.leave_after, steps.deadline * 2 / 5);
-  steps.serve_grace = std::min(steps.serve_grace, steps.deadline / 10);
+  steps.deadline =
+      kill_after - std::min(kKillReserve, kill_after / kKillReserveDivisor);
+  const Duration longest = steps.deadline * kMaxStepTenths / kTenths;
+  steps.idle_grace = std::min(steps.idle_grace, longest);
+  steps.leave_after = std::min(steps.leave_after, longest);
+  steps.serve_grace = std::min(steps.serve_grace, steps.deadline / kTenths);
 }
 
 }  // namespace
