A closed link reserves no memory anew

The write that a close breaks off completes later and set the reservation to what was still queued, after the close had returned it; the link may then outlive the budget. Found by reading; no run showed it.

--- a/src/wire/link.cc
+++ b/src/wire/link.cc
@@ -123,7 +123,7 @@
 
 void Links::Link::SetQueuedBytes(std::size_t bytes) {
   queued_bytes_ = bytes;
-  queue_memory_.Resize(bytes);
+  if (!closed_) queue_memory_.Resize(bytes);  // Close() has returned all
 }
 
 // Defers the write until the event loop has run its ready handlers, so that
