--- a/src/core/backend/backend_type.h
+++ b/src/core/backend/backend_type.h
@@ -39,6 +39,13 @@
 struct DrainMark {
   InstanceId instance;
   std::optional<std::int64_t> born_ms;
+
+  friend bool operator==(const DrainMark& a, const DrainMark& b) {
+    return a.instance == b.instance && a.born_ms == b.born_ms;
+  }
+  friend bool operator!=(const DrainMark& a, const DrainMark& b) {
+    return !(a == b);
+  }
 };
 
 // Last known status of the backend server.
--- a/src/core/backend/backend_watch.cc
+++ b/src/core/backend/backend_watch.cc
@@ -10,10 +10,33 @@
 BackendWatch::BackendWatch(const BackendWatchSettings& settings,
                            base::ServiceName service, std::string address)
     : settings_(settings), probe_interval_(settings.probe_min) {
+  own_service_ = service;
   status_.service = std::move(service);
   status_.address = std::move(address);
 }
 
+// The service of a process that is known comes from its heartbeat.
+void BackendWatch::OnAssigned(const base::ServiceName& service) {
+  own_service_ = service;
+  if (status_.instance.empty()) status_.service = service;
+}
+
+bool BackendWatch::IsForeign(const Heartbeat& heartbeat) const {
+  if (heartbeat.address != status_.address) return true;
+  const bool known =
+      heartbeat.service == status_.service || heartbeat.service == own_service_;
+  return !known && !(is_service_ && is_service_(heartbeat.service));
+}
+
+bool BackendWatch::IsCurrent(const Heartbeat& heartbeat) const {
+  return heartbeat.instance == status_.instance &&
+         heartbeat.service == status_.service && heartbeat.born_ms == born_ms_;
+}
+
+bool BackendWatch::IsOlder(const Heartbeat& heartbeat) const {
+  return born_ms_ && heartbeat.born_ms && *heartbeat.born_ms < *born_ms_;
+}
+
 // A restarted process may reuse the id; only the start time tells them apart.
 bool BackendWatch::IsDraining(
     const InstanceId& instance,
@@ -24,38 +47,96 @@
 }
 
 // A delayed heartbeat may arrive after its sender has exited and a new process
-// has started, so heartbeats with an earlier start time are ignored.
+// has started, so heartbeats with an earlier start time are ignored while that
+// process serves. Start times are wall times, which may step back; once nothing
+// serves, a health check decides. It also decides on a change of the service,
+// unless the sender is draining: nothing is sent to that one.
 bool BackendWatch::OnHeartbeat(const Heartbeat& heartbeat,
                                base::TimePoint now) {
-  if (heartbeat.service != status_.service) return false;
-  if (heartbeat.address != status_.address) return false;
-  if (born_ms_ && heartbeat.born_ms && *heartbeat.born_ms < *born_ms_) {
-    return false;
+  if (IsForeign(heartbeat)) return false;
+  if (IsCurrent(heartbeat)) {
+    if (heartbeat.sequence <= sequence_) return false;
+    Apply(heartbeat, now);
+    return true;
   }
-  const bool is_same_process =
-      heartbeat.instance == status_.instance && heartbeat.born_ms == born_ms_;
-  if (is_same_process && heartbeat.sequence <= sequence_) return false;
+  const bool older = IsOlder(heartbeat);
+  if (older && status_.state == BackendServerState::kReady) return false;
+  const bool other_service = heartbeat.service != status_.service;
+  if (older || (other_service && !heartbeat.draining)) {
+    Claim(heartbeat, now);
+    return true;
+  }
+  claim_.reset();
+  Apply(heartbeat, now);
+  return true;
+}
+
+void BackendWatch::Apply(const Heartbeat& heartbeat, base::TimePoint now) {
   const bool other_start =
       born_ms_ && heartbeat.born_ms && *heartbeat.born_ms != *born_ms_;
   const bool other_instance =
       !status_.instance.empty() && heartbeat.instance != status_.instance;
   if (other_start || other_instance) replaced_ = true;
   status_.instance = heartbeat.instance;
+  status_.service = heartbeat.service;
   status_.slots = heartbeat.slots;
   born_ms_ = heartbeat.born_ms;
   sequence_ = heartbeat.sequence;
   last_contact_ = now;
-  probing_ = false;
+  probing_ = claim_.has_value();
+  settings_hold_ = false;
   if (heartbeat.draining) drain_mark_ = DrainMark{heartbeat.instance, born_ms_};
   status_.state = IsDraining(heartbeat.instance, born_ms_)
                       ? BackendServerState::kDraining
                       : BackendServerState::kReady;
-  return true;
 }
 
+// A process that was taken for one of another service gets no further request.
+void BackendWatch::Claim(const Heartbeat& heartbeat, base::TimePoint now) {
+  const bool same_sender = claim_ && claim_->instance == heartbeat.instance &&
+                           claim_->service == heartbeat.service &&
+                           claim_->born_ms == heartbeat.born_ms;
+  if (same_sender && heartbeat.sequence <= claim_->sequence) return;
+  claim_ = heartbeat;
+  settings_hold_ = false;
+  const bool misnamed = heartbeat.instance == status_.instance &&
+                        heartbeat.service != status_.service;
+  if (misnamed) status_.state = BackendServerState::kGone;
+  StartProbing(now);
+}
+
+// While another process serves, a claim that the first health check does not
+// confirm is dropped; its sender may repeat it.
+bool BackendWatch::ConfirmClaim(const HealthReport& report,
+                                base::TimePoint now) {
+  if (report.healthy && report.instance == claim_->instance) {
+    const Heartbeat heartbeat = *claim_;
+    claim_.reset();
+    own_service_ = heartbeat.service;
+    Apply(heartbeat, now);
+    return true;
+  }
+  if (status_.state == BackendServerState::kReady) {
+    claim_.reset();
+    probing_ = false;
+  }
+  return false;
+}
+
+// The announcement names no service. Of a process that is not known, it counts
+// while no other process serves.
 void BackendWatch::OnLeave(const InstanceId& instance, base::TimePoint now) {
-  const bool current = status_.instance.empty() || status_.instance == instance;
+  const bool same = status_.instance == instance;
+  const bool claimed = claim_ && claim_->instance == instance;
+  const bool current = same || claimed || status_.instance.empty() ||
+                       status_.state == BackendServerState::kGone;
   if (!current) return;
+  if (!same) {
+    born_ms_ = claimed ? claim_->born_ms : std::nullopt;
+    sequence_ = claimed ? claim_->sequence : 0;
+    if (claimed) status_.service = claim_->service;
+  }
+  claim_.reset();
   drain_mark_ = DrainMark{instance, born_ms_};
   status_.instance = instance;
   status_.state = BackendServerState::kDraining;
@@ -70,14 +151,22 @@
   status_.state = BackendServerState::kDraining;
 }
 
-// Health checks report the id but not the start time. A process with a drain
-// mark therefore stays draining until a heartbeat reports a later start time.
+// Health checks report the id but neither the start time nor the service. A
+// process with a drain mark therefore stays draining until a heartbeat reports
+// a later start time, and an id that no heartbeat has named may belong to
+// another service. Only the process that the settings describe is accepted by
+// its id alone, when it is found before the address was seen vacant.
 void BackendWatch::OnHealth(const HealthReport& report, base::TimePoint now) {
   if (!probing_) return;
-  if (!report.answered || !report.healthy || report.instance.empty()) return;
+  if (!report.answered) {
+    settings_hold_ = false;
+    return;
+  }
+  if (claim_ && ConfirmClaim(report, now)) return;
+  if (!report.healthy || report.instance.empty()) return;
   if (IsDraining(report.instance, std::nullopt)) return;
   if (status_.instance != report.instance) {
-    if (!status_.instance.empty()) replaced_ = true;
+    if (!settings_hold_) return;
     status_.instance = report.instance;
     born_ms_.reset();
     sequence_ = 0;
@@ -85,20 +174,24 @@
   if (report.load.slots > 0) status_.slots = report.load.slots;
   status_.state = BackendServerState::kReady;
   last_contact_ = now;
-  probing_ = false;
+  probing_ = claim_.has_value();
 }
 
 void BackendWatch::OnUnreachable(base::TimePoint now) {
   if (status_.state != BackendServerState::kReady) return;
-  status_.state = BackendServerState::kGone;
-  StartProbing(now + settings_.probe_min);
+  SetGone(now + settings_.probe_min);
 }
 
 void BackendWatch::OnOtherInstance(base::TimePoint now) {
   replaced_ = true;
   if (status_.state != BackendServerState::kReady) return;
+  SetGone(now);
+}
+
+void BackendWatch::SetGone(base::TimePoint first_probe_at) {
   status_.state = BackendServerState::kGone;
-  StartProbing(now);
+  settings_hold_ = false;
+  StartProbing(first_probe_at);
 }
 
 void BackendWatch::OnAnswered(base::TimePoint now) { last_contact_ = now; }
@@ -123,8 +216,7 @@
 void BackendWatch::Tick(base::TimePoint now) {
   if (status_.state != BackendServerState::kReady) return;
   if (now - last_contact_ < settings_.silence_limit) return;
-  status_.state = BackendServerState::kGone;
-  StartProbing(now);
+  SetGone(now);
 }
 
 }  // namespace dogwoodrail::core::backend
--- a/src/core/backend/backend_watch.h
+++ b/src/core/backend/backend_watch.h
@@ -2,6 +2,7 @@
 #define DOGWOODRAIL_CORE_BACKEND_BACKEND_WATCH_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -21,16 +22,31 @@
   base::Duration silence_limit = std::chrono::seconds(6);
 };
 
-// Tracks the state of this node's backend server from heartbeats, health checks
-// and request outcomes. A process that has announced its shutdown never becomes
+// Tracks the backend server at the address beside this node from heartbeats,
+// health checks and request outcomes: which process of which service stands
+// there, and its state. A process that has announced its shutdown never becomes
 // ready again, even if a later message reports it as ready.
+//
+// The address may be assigned to another process, also of another service. Only
+// a process's own heartbeat says which service it belongs to; a health check
+// reports its id alone.
 class BackendWatch {
  public:
+  // `service` is the service that the settings name for the address.
   BackendWatch(const BackendWatchSettings& settings, base::ServiceName service,
                std::string address);
 
-  // Handles a heartbeat. Returns false if it is outdated or comes from another
-  // backend server.
+  // Sets the check whether a service exists. Until it is set, only the service
+  // of the settings does.
+  void SetServiceCheck(std::function<bool(const base::ServiceName&)> check) {
+    is_service_ = std::move(check);
+  }
+  // Handles a change of the service that the settings name for the address.
+  void OnAssigned(const base::ServiceName& service);
+  // Returns whether a heartbeat is of no process that could stand at the
+  // address: it names another address or a service that does not exist.
+  bool IsForeign(const Heartbeat& heartbeat) const;
+  // Handles a heartbeat. Returns false if it is foreign or outdated.
   bool OnHeartbeat(const Heartbeat& heartbeat, base::TimePoint now);
   // Handles a shutdown announcement of a backend server.
   void OnLeave(const InstanceId& instance, base::TimePoint now);
@@ -56,6 +72,13 @@
 
   // Last known status.
   const BackendStatus& status() const { return status_; }
+  // Service whose health check is due: the one that is claimed for the address,
+  // if it is not confirmed yet.
+  const base::ServiceName& probed_service() const {
+    return claim_ ? claim_->service : status_.service;
+  }
+  // Service of the VM, from the settings or a process found at the address.
+  const base::ServiceName& own_service() const { return own_service_; }
   // The process that announced its shutdown, if any.
   const std::optional<DrainMark>& drain_mark() const { return drain_mark_; }
 
@@ -63,10 +86,28 @@
   // Returns true if drain_mark_ applies to the given process.
   bool IsDraining(const InstanceId& instance,
                   const std::optional<std::int64_t>& born_ms) const;
+  // Returns true if the heartbeat is of the process in status_.
+  bool IsCurrent(const Heartbeat& heartbeat) const;
+  // Returns true if the sender has started before the process in status_.
+  bool IsOlder(const Heartbeat& heartbeat) const;
+  // Takes the process and its state from a heartbeat.
+  void Apply(const Heartbeat& heartbeat, base::TimePoint now);
+  // Keeps a heartbeat until a health check finds its sender at the address.
+  void Claim(const Heartbeat& heartbeat, base::TimePoint now);
+  // Decides the claim by a health check. Returns true if its sender was found.
+  bool ConfirmClaim(const HealthReport& report, base::TimePoint now);
+  // Marks the process as gone; from then on another may stand at the address.
+  void SetGone(base::TimePoint first_probe_at);
   void StartProbing(base::TimePoint first_probe_at);
 
   BackendWatchSettings settings_;
+  std::function<bool(const base::ServiceName&)> is_service_;
   BackendStatus status_;
+  base::ServiceName own_service_;
+  // Heartbeat of another process, not confirmed by a health check yet.
+  std::optional<Heartbeat> claim_;
+  // The process that the settings describe may still stand at the address.
+  bool settings_hold_ = true;
   std::optional<std::int64_t> born_ms_;
   std::uint64_t sequence_ = 0;
   std::optional<DrainMark> drain_mark_;
--- a/src/node/backend_system.cc
+++ b/src/node/backend_system.cc
@@ -27,32 +27,50 @@
       ports_(ports),
       emit_(std::move(emit)),
       watch_(settings, node.settings().host.service,
-             node.settings().host.backend_address) {}
+             node.settings().host.backend_address),
+      assigned_service_(node.settings().host.service),
+      reported_service_(assigned_service_) {
+  watch_.SetServiceCheck([this](const core::base::ServiceName& service) {
+    const auto& config = node_.config();
+    return config != nullptr && config->FindService(service) != nullptr;
+  });
+}
 
 bool BackendSystem::OnHeartbeat(const core::backend::Heartbeat& heartbeat,
                                 TimePoint now) {
-  const bool was_draining =
-      watch_.status().state == BackendServerState::kDraining;
+  const auto drained_before = watch_.drain_mark();
   if (!watch_.OnHeartbeat(heartbeat, now)) return false;
-  const bool draining = watch_.status().state == BackendServerState::kDraining;
-  if (draining && !was_draining && on_draining_) {
-    on_draining_(*watch_.drain_mark(), now);
-  }
+  ReportDrain(drained_before, now);
   Announce(now);
   return true;
 }
 
 void BackendSystem::OnLeave(const LeaveNotice& notice, TimePoint now) {
-  const bool was_draining =
-      watch_.status().state == BackendServerState::kDraining;
+  const auto drained_before = watch_.drain_mark();
   watch_.OnLeave(notice.instance, now);
-  const bool draining = watch_.status().state == BackendServerState::kDraining;
-  if (draining && !was_draining && on_draining_) {
-    on_draining_(*watch_.drain_mark(), now);
-  }
+  ReportDrain(drained_before, now);
   Announce(now);
 }
 
+void BackendSystem::ReportDrain(const std::optional<DrainMark>& before,
+                                TimePoint now) {
+  const auto& mark = watch_.drain_mark();
+  if (mark && mark != before && on_draining_) on_draining_(*mark, now);
+}
+
+void BackendSystem::OnSettings(const Settings& settings) {
+  if (settings.host.service == assigned_service_) return;
+  assigned_service_ = settings.host.service;
+  watch_.OnAssigned(assigned_service_);
+  ReportOwnService();
+}
+
+void BackendSystem::ReportOwnService() {
+  if (watch_.own_service() == reported_service_) return;
+  reported_service_ = watch_.own_service();
+  ports_.set_own_service(reported_service_);
+}
+
 void BackendSystem::OnDrainMark(const DrainMark& mark, TimePoint now) {
   const BackendServerState before = watch_.status().state;
   watch_.OnDrainMark(mark);
@@ -84,17 +102,23 @@
 void BackendSystem::CheckHealth() {
   std::string path = kDefaultHealthPath;
   if (node_.config()) {
-    const auto* service = node_.config()->FindService(watch_.status().service);
+    const auto* service = node_.config()->FindService(watch_.probed_service());
     if (service != nullptr) path = service->health_path;
   }
   ports_.check_health(watch_.status(), path,
                       [this](const core::backend::HealthReport& report) {
-                        const BackendServerState before = watch_.status().state;
-                        watch_.OnHealth(report, Node::Now());
-                        AnnounceChange(before, Node::Now());
+                        OnHealth(report, Node::Now());
                       });
 }
 
+void BackendSystem::OnHealth(const core::backend::HealthReport& report,
+                             TimePoint now) {
+  const BackendServerState before = watch_.status().state;
+  watch_.OnHealth(report, now);
+  ReportOwnService();
+  AnnounceChange(before, now);
+}
+
 void BackendSystem::AnnounceChange(BackendServerState before, TimePoint now) {
   if (watch_.status().state != before) Announce(now);
 }
--- a/src/node/backend_system.h
+++ b/src/node/backend_system.h
@@ -21,13 +21,19 @@
   BackendSystem(const core::backend::BackendWatchSettings& settings, Node& node,
                 const HostPorts& ports, core::base::EventSink emit);
 
-  // Handles a heartbeat; returns false if it is not of the current instance of
-  // the backend server.
+  // Returns whether a heartbeat is of no instance that could be beside this
+  // node.
+  bool IsForeign(const core::backend::Heartbeat& heartbeat) const {
+    return watch_.IsForeign(heartbeat);
+  }
+  // Handles a heartbeat; returns false if it is foreign or outdated.
   bool OnHeartbeat(const core::backend::Heartbeat& heartbeat, TimePoint now);
   // Handles a notice that the backend server is leaving.
   void OnLeave(const LeaveNotice& notice, TimePoint now);
   // Restores a drain mark that was stored before the node restarted.
   void OnDrainMark(const DrainMark& mark, TimePoint now);
+  // Applies the service that the settings name for the address.
+  void OnSettings(const Settings& settings);
   // Updates the state from the outcome of an execution.
   void OnOutcome(const http::BackendOutcome& outcome, TimePoint now);
   // Sends health checks and renews the announcement when they are due.
@@ -42,15 +48,23 @@
 
  private:
   void CheckHealth();
+  // Handles the result of a health check.
+  void OnHealth(const core::backend::HealthReport& report, TimePoint now);
   // Announces the current state to the serving system.
   void Announce(TimePoint now);
   // Announces the current state if it differs from the given one.
   void AnnounceChange(core::base::BackendServerState before, TimePoint now);
+  // Passes on the drain mark if it differs from the given one.
+  void ReportDrain(const std::optional<DrainMark>& before, TimePoint now);
+  // Passes on the service of the VM if it has changed.
+  void ReportOwnService();
 
   Node& node_;
   const HostPorts& ports_;
   core::base::EventSink emit_;
   core::backend::BackendWatch watch_;
+  core::base::ServiceName assigned_service_;  // by the settings
+  core::base::ServiceName reported_service_;  // by ReportOwnService()
   std::function<void(const DrainMark&, TimePoint)> on_draining_;
   TimePoint announced_at_;
 };
--- a/src/node/host_type.h
+++ b/src/node/host_type.h
@@ -51,6 +51,8 @@
   using Entry = core::member::DirectoryEntry;
 
   Dialect dialect;
+  // Sets the service of this VM, from which its callers' requests come.
+  std::function<void(const core::base::ServiceName&)> set_own_service;
   // Reads or watches the configuration in the store.
   std::function<void(const core::config::FollowCall&,
                      std::function<void(ConfigAnswer)>)>
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -29,6 +29,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 // Longest delay of an acknowledgement until the drain mark is written to the
@@ -71,6 +72,8 @@
   void Connect() {
     node_->SetFreshnessCheck(
         [this](TimePoint now) { return config_->IsFresh(now); });
+    node_->SetSettingsHook(
+        [this](const Settings& settings) { backend_->OnSettings(settings); });
     node_->SetSuspendedHook(
         [this](core::base::Duration time) { config_->OnSuspended(time); });
     backend_->SetDrainHook([this](const auto& mark, TimePoint now) {
@@ -146,14 +149,7 @@
     const BackendNotice notice = ports_.read_notice(request);
     if (const auto* heartbeat =
             std::get_if<core::backend::Heartbeat>(&notice)) {
-      if (!backend_->OnHeartbeat(*heartbeat, now)) {
-        emit_({EventNumber::kHeartbeatIgnored,
-               {},
-               {},
-               "instance=" + heartbeat->instance.value() +
-                   " sequence=" + std::to_string(heartbeat->sequence)});
-      }
-      return Acknowledge(exchange, heartbeat->draining, now);
+      return OnHeartbeat(exchange, *heartbeat, now);
     }
     if (const auto* leave = std::get_if<LeaveNotice>(&notice)) {
       backend_->OnLeave(*leave, now);
@@ -164,6 +160,25 @@
         exchange, MakeTextResponse(kBadRequest, "application/json", "{}"));
   }
 
+  // An acknowledgement is a promise to observe what the sender has announced. A
+  // heartbeat that cannot be used gets none, and its sender may ask elsewhere.
+  void OnHeartbeat(http::ExchangeId exchange,
+                   const core::backend::Heartbeat& heartbeat, TimePoint now) {
+    const bool foreign = backend_->IsForeign(heartbeat);
+    if (!backend_->OnHeartbeat(heartbeat, now)) {
+      emit_({EventNumber::kHeartbeatIgnored,
+             {},
+             {},
+             std::string("cause=") + (foreign ? "foreign" : "outdated") +
+                 " instance=" + heartbeat.instance.value() +
+                 " service=" + heartbeat.service.value() +
+                 " sequence=" + std::to_string(heartbeat.sequence)});
+    }
+    if (!foreign) return Acknowledge(exchange, heartbeat.draining, now);
+    control_server_->Answer(
+        exchange, MakeTextResponse(kConflict, "application/json", "{}"));
+  }
+
   // After a restart the node must know which drains it has acknowledged, so the
   // acknowledgement follows the write to the store. If the store is unavailable
   // it is sent after kDrainWriteTimeout, because this process observes the
--- a/src/node/node_base.cc
+++ b/src/node/node_base.cc
@@ -236,6 +236,7 @@
 void Node::ApplySettings(const Settings& settings) {
   settings_ = settings;
   ApplyCallerLimits();
+  if (on_settings_) on_settings_(settings_);
 }
 
 // Limits that the configuration leaves out keep the values of the settings.
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -73,6 +73,10 @@
   void AddMetricsSource(MetricsSource source) {
     metrics_.AddSource(std::move(source));
   }
+  // Sets the hook that is called with the settings after a change.
+  void SetSettingsHook(std::function<void(const Settings&)> hook) {
+    on_settings_ = std::move(hook);
+  }
   // Sets the hook that is called with the time for which the VM was suspended.
   void SetSuspendedHook(std::function<void(core::base::Duration)> hook) {
     on_suspended_ = std::move(hook);
@@ -219,6 +223,7 @@
   std::function<bool(TimePoint)> is_config_fresh_;
   Metrics metrics_;
   std::vector<std::function<void(TimePoint)>> tick_handlers_;
+  std::function<void(const Settings&)> on_settings_;
   std::function<void(core::base::Duration)> on_suspended_;
   std::function<void(const http::BackendOutcome&, TimePoint)>
       on_backend_outcome_;
--- a/src/node/serving_base.cc
+++ b/src/node/serving_base.cc
@@ -392,11 +392,16 @@
   if (ran) ports_.on_execution_ended(index, now);
 }
 
+// The queued calls are for the service that they name. If the address has gone
+// to another one, they are refused.
 void ServingSystem::OnAnnouncement(const BackendAnnouncement& announcement,
                                    TimePoint now) {
   const bool changed = !announced_ || announcement.state != backend_.state ||
                        announcement.service != backend_.service ||
                        announcement.address != backend_.address;
+  const bool other_service =
+      announced_ && announcement.service != backend_.service;
+  if (other_service) SetBackendState(BackendServerState::kGone, now);
   announced_ = true;
   announced_at_ = now;
   backend_ = announcement;
@@ -408,7 +413,8 @@
                {},
                {},
                "service=" + announcement.service.value() +
-                   " address=" + announcement.address});
+                   " address=" + announcement.address +
+                   " instance=" + announcement.instance});
   SetBackendState(announcement.state, now);
 }
 
--- a/src/node/settings_table.cc
+++ b/src/node/settings_table.cc
@@ -228,7 +228,7 @@
       {"features", "shards", kOptional, kAtStart, Flag(&Settings::features, &FeatureSettings::shards), "replicate shards to pairs of nodes: at-most-once records, rate grantors"},
       {"host", "adapter", kOptional, kAtStart, ChoiceSetting{Access(host, &Host::adapter), {"own", "platform"}}, "environment that hosts the node; platform requires name, service, backend, ready and control"},
       {"host", "name", kOptional, kAtStart, Name(host, &Host::name), "name of the node in the directory"},
-      {"host", "service", kOptional, kAtStart, Name(host, &Host::service), "service of the backend server beside the node"},
+      {"host", "service", kOptional, kRunning, Name(host, &Host::service), "service of the backend server beside the node"},
       {"host", "backend", kOptional, kAtStart, Endpoint(host, &Host::backend_address), "address of the backend server"},
       {"host", "ready", kOptional, kAtStart, Endpoint(host, &Host::ready_address), "address of the readiness endpoint"},
       {"host", "control", kOptional, kAtStart, Endpoint(host, &Host::control_address), "address for heartbeats of the backend server"},
--- a/tests/integration/platform/common/fleet.cc
+++ b/tests/integration/platform/common/fleet.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/algorithm/string/replace.hpp>
 #include <cinttypes>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -161,6 +162,12 @@
       std::make_unique<Process>("dogwoodrail", args, node_log(it));
 }
 
+void PlatformFleet::Reassign(std::size_t it, const std::string& service) {
+  vms_.at(it).service = service;
+  WriteSettings(it);
+  node(it).SendSignal(SIGHUP);
+}
+
 // A request is served by any instance, so that each node is asked as often as
 // there are instances.
 bool PlatformFleet::WaitServing(std::chrono::milliseconds timeout) {
--- a/tests/integration/platform/common/fleet.h
+++ b/tests/integration/platform/common/fleet.h
@@ -49,6 +49,8 @@
   // Starts the process of a node, again if it has run before, with further
   // flags.
   void StartNode(std::size_t it, const std::vector<std::string>& flags = {});
+  // Names another service in the settings of a node and signals the change.
+  void Reassign(std::size_t it, const std::string& service);
   // Waits until every node is ready and serves a request.
   bool WaitServing(std::chrono::milliseconds timeout);
   std::string node_log(std::size_t it) const;
--- a/tests/integration/platform/common/instance.cc
+++ b/tests/integration/platform/common/instance.cc
@@ -66,12 +66,18 @@
     request.id = request_["Attempt-Id"].to_string();
     request.tenant = request_["Tenant"].to_string();
     request.has_key = request_.count("X-Api-Key") > 0;
+    request.caller_service = request_["Caller-Service"].to_string();
+    request.expected_instance = request_["Expect-Instance"].to_string();
     request.body = request_.body();
     request.number = number_++;
     if (request.target == kHealthPath) {
       steps_ = {{std::chrono::milliseconds(0),
                  AnswerText("", owner_.draining_ ? 503 : 200,
                             "Instance-Id: " + owner_.id_ + "\r\n", "")}};
+    } else if (!request.expected_instance.empty() &&
+               request.expected_instance != owner_.id_) {
+      steps_ = {{std::chrono::milliseconds(0),
+                 AnswerText(request.id, 421, "Not-Run: other\r\n", "")}};
     } else {
       steps_ = owner_.Begin(request);
     }
@@ -138,6 +144,16 @@
   down_time_ = time;
 }
 
+void PlatformInstance::SetNextService(const std::string& service) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  next_service_ = service;
+}
+
+void PlatformInstance::SetHeartbeatDelay(std::chrono::milliseconds delay) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  heartbeat_delay_ = delay;
+}
+
 void PlatformInstance::Drain() { draining_ = true; }
 
 void PlatformInstance::SetSilentCrash(bool silent) {
@@ -176,7 +192,14 @@
   acceptor_.bind(address);
   acceptor_.listen();
   Accept();
-  SendHeartbeat();
+  std::chrono::milliseconds delay{0};
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!next_service_.empty()) spec_.service = std::move(next_service_);
+    next_service_.clear();
+    delay = heartbeat_delay_;
+  }
+  ScheduleHeartbeat(delay);
 }
 
 void PlatformInstance::CrashNow() {
@@ -229,7 +252,11 @@
                    std::to_string(++sequence_) + "}";
   node_->Send(std::move(request), kHeartbeatTimeout,
               [](const standin::HttpOutcome&) {});
-  heartbeat_timer_.expires_after(kHeartbeatInterval);
+  ScheduleHeartbeat(kHeartbeatInterval);
+}
+
+void PlatformInstance::ScheduleHeartbeat(std::chrono::milliseconds delay) {
+  heartbeat_timer_.expires_after(delay);
   heartbeat_timer_.async_wait([this](const error_code& ec) {
     if (!ec && up_) SendHeartbeat();
   });
--- a/tests/integration/platform/common/instance.h
+++ b/tests/integration/platform/common/instance.h
@@ -26,6 +26,8 @@
   std::string id;        // of the client attempt
   std::string tenant;    // whose request it is
   bool has_key = false;  // the caller's key was passed on
+  std::string caller_service;
+  std::string expected_instance;  // only process that may run it; empty: any
   std::string body;
   std::size_t number = 0;  // on its connection, from 0
 };
@@ -70,6 +72,10 @@
   void Crash();
   // Replaces the answers. Called on the thread of the loop.
   void SetScript(InstanceScript script);
+  // Sets the service of the next process at the address.
+  void SetNextService(const std::string& service);
+  // Sets how late the heartbeats of the next process begin.
+  void SetHeartbeatDelay(std::chrono::milliseconds delay);
   // Time from a crash to the next start.
   void SetDownTime(std::chrono::milliseconds time);
   // Announces that the process is about to leave; it goes on serving.
@@ -105,6 +111,7 @@
   void CrashNow();
   void Accept();
   void SendHeartbeat();
+  void ScheduleHeartbeat(std::chrono::milliseconds delay);
   std::vector<InstanceStep> Begin(const InstanceRequest& request);
   InstanceAnswer MakeAnswer(const InstanceRequest& request) const;
 
@@ -125,6 +132,8 @@
   InstanceScript script_;
   std::map<std::string, std::vector<Clock::time_point>> runs_;
   std::chrono::milliseconds down_time_{700};
+  std::string next_service_;  // empty: the same
+  std::chrono::milliseconds heartbeat_delay_{0};
   std::size_t crashes_ = 0;
   bool silent_crash_ = false;
 };
--- a/tests/unit/adapter/dialect_test.cc
+++ b/tests/unit/adapter/dialect_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <memory>
 #include <string>
 
 namespace dogwoodrail::platform {
@@ -16,7 +17,7 @@
 using std::chrono::milliseconds;
 
 node::Dialect MakeTestDialect() {
-  return MakeDialect(core::base::ServiceName("wages"));
+  return MakeDialect(std::make_shared<core::base::ServiceName>("wages"));
 }
 
 http::Request MakeRequest() {
--- a/tests/unit/backend/watch_test.cc
+++ b/tests/unit/backend/watch_test.cc
@@ -37,6 +37,22 @@
   return heartbeat;
 }
 
+BackendWatch MakeWatchOfTwoServices() {
+  BackendWatch watch = MakeWatch();
+  watch.SetServiceCheck([](const base::ServiceName& service) {
+    return service.value() == "lots" || service.value() == "wages";
+  });
+  return watch;
+}
+
+Heartbeat MakeHeartbeatOfWages(
+    const std::string& id, std::uint64_t sequence,
+    std::optional<std::int64_t> born = std::nullopt) {
+  Heartbeat heartbeat = MakeHeartbeat(id, sequence, born);
+  heartbeat.service = base::ServiceName("wages");
+  return heartbeat;
+}
+
 HealthReport MakeHealthy(const std::string& id) {
   HealthReport report;
   report.answered = true;
@@ -127,11 +143,146 @@
   BOOST_TEST((watch.status().state == BackendServerState::kGone));
   BOOST_TEST(!watch.StartProbeIfDue(At(seconds(2))));
   BOOST_TEST(watch.StartProbeIfDue(At(seconds(2) + milliseconds(250))));
+  watch.OnHealth(MakeHealthy("i-1"), At(seconds(3)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  BOOST_TEST(watch.status().instance.value() == "i-1");
+}
+
+// A health check names no service: the address may have gone to another one,
+// whose instance then ran requests of the old service.
+BOOST_AUTO_TEST_CASE(unknown_id_of_a_health_check_is_not_used) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1), At(seconds(1)));
+  watch.OnUnreachable(At(seconds(2)));
   watch.OnHealth(MakeHealthy("i-2"), At(seconds(3)));
+  BOOST_TEST((watch.status().state == BackendServerState::kGone));
+  BOOST_TEST(watch.status().instance.value() == "i-1");
+  BOOST_TEST(watch.OnHeartbeat(MakeHeartbeat("i-2", 1), At(seconds(4))));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  BOOST_TEST(watch.status().instance.value() == "i-2");
+}
+
+// The same after the start of the node, when its first health check finds the
+// address vacant.
+BOOST_AUTO_TEST_CASE(settings_do_not_hold_for_a_later_process) {
+  BackendWatch watch = MakeWatch();
+  BOOST_TEST(watch.StartProbeIfDue(At(seconds(1))));
+  watch.OnHealth(HealthReport(), At(seconds(1)));
+  watch.OnHealth(MakeHealthy("i-1"), At(seconds(2)));
+  BOOST_TEST((watch.status().state != BackendServerState::kReady));
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1), At(seconds(3)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+}
+
+BOOST_AUTO_TEST_CASE(other_service_is_taken_once_its_process_is_found) {
+  BackendWatch watch = MakeWatchOfTwoServices();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 100), At(seconds(1)));
+  watch.OnOtherInstance(At(seconds(5)));
+  BOOST_TEST(
+      watch.OnHeartbeat(MakeHeartbeatOfWages("i-2", 1, 200), At(seconds(5))));
+  BOOST_TEST(watch.status().service.value() == "lots");
+  BOOST_TEST((watch.status().state == BackendServerState::kGone));
+  BOOST_TEST(watch.probed_service().value() == "wages");
+  BOOST_TEST(watch.StartProbeIfDue(At(seconds(5))));
+  watch.OnHealth(MakeHealthy("i-2"), At(seconds(5)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  BOOST_TEST(watch.status().service.value() == "wages");
+  BOOST_TEST(watch.status().instance.value() == "i-2");
+  BOOST_TEST(watch.own_service().value() == "wages");
+  BOOST_TEST(watch.TakeReplaced());
+}
+
+// Heartbeats of the old and the new process arrive late and crossed.
+BOOST_AUTO_TEST_CASE(late_heartbeat_of_the_former_service_changes_nothing) {
+  BackendWatch watch = MakeWatchOfTwoServices();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 100), At(seconds(1)));
+  watch.OnHeartbeat(MakeHeartbeatOfWages("i-2", 1, 200), At(seconds(5)));
+  watch.OnHealth(MakeHealthy("i-2"), At(seconds(5)));
+  BOOST_TEST(!watch.OnHeartbeat(MakeHeartbeat("i-1", 2, 100), At(seconds(6))));
+  BOOST_TEST(watch.status().service.value() == "wages");
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+}
+
+// The former process still serves, or a heartbeat names an address that its
+// sender has lost.
+BOOST_AUTO_TEST_CASE(claim_that_no_health_check_confirms_is_dropped) {
+  BackendWatch watch = MakeWatchOfTwoServices();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1), At(seconds(1)));
+  watch.OnHeartbeat(MakeHeartbeatOfWages("i-2", 1), At(seconds(2)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  BOOST_TEST(watch.status().service.value() == "lots");
+  watch.OnHealth(MakeHealthy("i-1"), At(seconds(2)));
+  BOOST_TEST(watch.probed_service().value() == "lots");
+  BOOST_TEST(watch.own_service().value() == "lots");
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+}
+
+// After a restart of the node, the settings and the health check found the
+// process before its first heartbeat named another service.
+BOOST_AUTO_TEST_CASE(process_that_names_another_service_is_used_no_more) {
+  BackendWatch watch = MakeWatchOfTwoServices();
+  BOOST_TEST(watch.StartProbeIfDue(At(seconds(1))));
+  watch.OnHealth(MakeHealthy("i-2"), At(seconds(1)));
+  watch.OnHeartbeat(MakeHeartbeatOfWages("i-2", 4, 200), At(seconds(2)));
+  BOOST_TEST((watch.status().state == BackendServerState::kGone));
+  watch.OnHealth(MakeHealthy("i-2"), At(seconds(2)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  BOOST_TEST(watch.status().service.value() == "wages");
+}
+
+// The time of day has stepped back between the starts of the two processes.
+BOOST_AUTO_TEST_CASE(earlier_start_time_is_believed_if_its_process_is_found) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 300), At(seconds(1)));
+  watch.OnUnreachable(At(seconds(2)));
+  BOOST_TEST(watch.OnHeartbeat(MakeHeartbeat("i-2", 1, 200), At(seconds(4))));
+  BOOST_TEST((watch.status().state == BackendServerState::kGone));
+  watch.OnHealth(MakeHealthy("i-2"), At(seconds(4)));
   BOOST_TEST((watch.status().state == BackendServerState::kReady));
   BOOST_TEST(watch.status().instance.value() == "i-2");
 }
 
+// An acknowledged shutdown of a process of another service, whose heartbeats
+// are still under way.
+BOOST_AUTO_TEST_CASE(left_process_of_another_service_does_not_become_ready) {
+  BackendWatch watch = MakeWatchOfTwoServices();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 100), At(seconds(1)));
+  watch.OnUnreachable(At(seconds(2)));
+  watch.OnLeave(InstanceId("i-2"), At(seconds(6)));
+  watch.OnHeartbeat(MakeHeartbeatOfWages("i-2", 1, 200), At(seconds(7)));
+  watch.OnHealth(MakeHealthy("i-2"), At(seconds(7)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+  watch.OnHeartbeat(MakeHeartbeatOfWages("i-2", 2, 200), At(seconds(8)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+}
+
+BOOST_AUTO_TEST_CASE(draining_of_another_service_needs_no_health_check) {
+  BackendWatch watch = MakeWatchOfTwoServices();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 100), At(seconds(1)));
+  Heartbeat heartbeat = MakeHeartbeatOfWages("i-2", 3, 200);
+  heartbeat.draining = true;
+  watch.OnHeartbeat(heartbeat, At(seconds(5)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+  BOOST_TEST(watch.drain_mark()->instance.value() == "i-2");
+}
+
+BOOST_AUTO_TEST_CASE(service_of_the_settings_changes) {
+  BackendWatch watch = MakeWatch();
+  watch.OnAssigned(base::ServiceName("wages"));
+  BOOST_TEST(watch.own_service().value() == "wages");
+  BOOST_TEST(watch.probed_service().value() == "wages");
+  BOOST_TEST(!watch.IsForeign(MakeHeartbeatOfWages("i-2", 1)));
+}
+
+BOOST_AUTO_TEST_CASE(service_that_does_not_exist_is_foreign) {
+  BackendWatch watch = MakeWatchOfTwoServices();
+  BOOST_TEST(!watch.IsForeign(MakeHeartbeatOfWages("i-2", 1)));
+  Heartbeat heartbeat = MakeHeartbeat("i-2", 1);
+  heartbeat.service = base::ServiceName("odd");
+  BOOST_TEST(watch.IsForeign(heartbeat));
+  BOOST_TEST(!watch.OnHeartbeat(heartbeat, At(seconds(1))));
+}
+
 BOOST_AUTO_TEST_CASE(gone_after_silence_unless_requests_are_answered) {
   BackendWatch watch = MakeWatch();
   watch.OnHeartbeat(MakeHeartbeat("i-1", 1), At(seconds(1)));
