--- a/src/core/rate/rate_limiter.cc
+++ b/src/core/rate/rate_limiter.cc
@@ -35,25 +35,42 @@
 RateLimiter::RateLimiter(RateSettings settings, std::uint32_t shard_count)
     : settings_(settings), shard_count_(shard_count) {}
 
+// With another limit, an earlier shortage of tokens says nothing anymore.
 void RateLimiter::OnConfig(const AccountName& name, RateLimit limit) {
   Account& account = accounts_[name];
+  const bool changed =
+      account.state != AccountState::kLimited || !(account.limit == limit);
   account.name = name;
   account.limit = limit;
-  account.removed = false;
+  account.state = AccountState::kLimited;
   account.shard = shard::ShardOf(name.value(), shard_count_);
+  if (!changed) return;
+  account.next_request = TimePoint();
+  account.refuse_until = TimePoint();
+  account.refusal_time = Duration(0);
+}
+
+void RateLimiter::OnUnlimited(const AccountName& name) {
+  EndLimit(name, AccountState::kUnlimited, Admitted());
 }
 
-// Keeps the count of spent tokens and the sequence number, because the account
-// may be added again while the grantor still has state of this holder.
 void RateLimiter::OnRemoved(const AccountName& name) {
+  EndLimit(name, AccountState::kRemoved,
+           Refused(base::Reason::kUnknownKey, Duration(0)));
+}
+
+// Keeps the count of spent tokens and the sequence number, because the account
+// may be limited again while the grantor still has state of this holder.
+void RateLimiter::EndLimit(const AccountName& name, AccountState state,
+                           const RateDecision& decision) {
   const auto it = accounts_.find(name);
   if (it == accounts_.end()) return;
-  for (const PendingCall& call : it->second.pending) {
-    Resolve(call, Refused(base::Reason::kUnknownKey, Duration(0)));
-  }
-  it->second.pending.clear();
-  it->second.held = 0;
-  it->second.removed = true;
+  Account& account = it->second;
+  for (const PendingCall& call : account.pending) Resolve(call, decision);
+  account.pending.clear();
+  account.held = 0;
+  account.in_flight.active = false;
+  account.state = state;
 }
 
 void RateLimiter::DropExpired(Account* account, TimePoint now) const {
@@ -93,9 +110,10 @@
 RateDecision RateLimiter::Admit(const AccountName& name, CallId call,
                                 TimePoint now) {
   const auto it = accounts_.find(name);
-  if (it == accounts_.end() || it->second.removed) {
+  if (it == accounts_.end() || it->second.state == AccountState::kRemoved) {
     return Refused(base::Reason::kUnknownKey, Duration(0));
   }
+  if (it->second.state == AccountState::kUnlimited) return Admitted();
   Account& account = it->second;
   UpdateDemand(&account, now);
   DropExpired(&account, now);
@@ -121,7 +139,8 @@
 // A token that has been reported to the grantor as spent cannot be returned.
 void RateLimiter::Refund(const AccountName& name, TimePoint now) {
   const auto it = accounts_.find(name);
-  if (it == accounts_.end() || it->second.removed) return;
+  if (it == accounts_.end()) return;
+  if (it->second.state != AccountState::kLimited) return;
   Account& account = it->second;
   DropExpired(&account, now);
   if (account.spent == account.reported || now >= account.expires_at) return;
@@ -335,6 +354,7 @@
 
 void RateLimiter::Tick(TimePoint now) {
   for (auto& [name, account] : accounts_) {
+    if (account.state != AccountState::kLimited) continue;
     const bool waiting = account.in_flight.active || !account.pending.empty();
     const bool idle = account.held == 0 && account.spent == account.reported;
     if (!waiting && idle) continue;
--- a/src/core/rate/rate_limiter.h
+++ b/src/core/rate/rate_limiter.h
@@ -20,6 +20,8 @@
   void OnConfig(const AccountName& account, RateLimit limit);
   // Sets the number of nodes that share the rates while no grantor answers.
   void SetNodeCount(std::size_t nodes) { nodes_ = nodes; }
+  // Lifts the limit of an account and admits its pending calls.
+  void OnUnlimited(const AccountName& account);
   // Disables an account and refuses its pending calls.
   void OnRemoved(const AccountName& account);
 
@@ -39,7 +41,7 @@
 
   // Returns the tokens of an account that this node may still spend.
   Tokens HeldTokens(const AccountName& account, TimePoint now) const;
-  // Number of accounts with state at this node, removed ones included.
+  // Number of accounts with state at this node, also those without a limit.
   std::size_t account_count() const { return accounts_.size(); }
   // Number of pending calls at this node.
   std::size_t pending_count() const;
@@ -55,11 +57,13 @@
     TimePoint sent;    // first transmission; start of the grant's lease
     TimePoint resent;  // last transmission
   };
+  // What the configuration says of an account.
+  enum class AccountState : std::uint8_t { kLimited, kUnlimited, kRemoved };
   struct Account {
     AccountName name;
     RateLimit limit;
     std::uint32_t holders = 0;  // from the grantor's last reply
-    bool removed = false;
+    AccountState state = AccountState::kLimited;
     ShardIndex shard;
     Tokens held = 0;
     TimePoint expires_at;
@@ -92,6 +96,9 @@
   void SendRequest(Account* account, Tokens target, TimePoint now);
   void AdmitPending(Account* account);
   void Resolve(const PendingCall& call, RateDecision decision);
+  // Ends the limit of an account; its pending calls get the decision.
+  void EndLimit(const AccountName& name, AccountState state,
+                const RateDecision& decision);
   void RefuseForShortage(Account* account, Duration retry_after, TimePoint now);
   bool IsReportDue(const Account& account, TimePoint now) const;
   void TickRequest(Account* account, TimePoint now);
--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -42,6 +42,16 @@
       std::min(raised, static_cast<int>(Importance::kMoney)));
 }
 
+// Returns true if requests of the route may go to the service.
+bool HasService(const core::config::Route& route,
+                const core::base::ServiceName& service) {
+  if (route.split.empty()) return route.service == service;
+  return std::any_of(route.split.begin(), route.split.end(),
+                     [&](const core::config::ServiceShare& it) {
+                       return it.service == service && it.weight > 0;
+                     });
+}
+
 }  // namespace
 
 EntrySystem::EntrySystem(EntrySettings settings,
@@ -74,7 +84,7 @@
     return RefuseImmediately(call,
                              {headers.error().reason, headers.error().detail});
   }
-  if (const auto refusal = Identify(*headers, call, now)) {
+  if (const auto refusal = Identify(*headers, call)) {
     return RefuseImmediately(call, *refusal);
   }
   if (IsTooLate(call, now)) {
@@ -104,33 +114,45 @@
   return latest && now + *call.caller_timeout <= *latest + kDeadlineTolerance;
 }
 
-// The caller's timeout and attempt limit can only lower those of the route.
 std::optional<EntrySystem::Refusal> EntrySystem::Identify(
-    const CallerHeaders& headers, EntryCall& call, TimePoint now) {
+    const CallerHeaders& headers, EntryCall& call) {
+  call.identity.host = headers.host;
+  call.identity.max_attempts = headers.max_attempts;
+  if (headers.key) call.identity.key = ports_.hash_key(*headers.key);
+  if (headers.timeout) call.caller_timeout = *headers.timeout;
   if (!config_) return Refusal{Reason::kNoConfiguration, ""};
-  const auto* route = config_->MatchRoute(call.message.target, headers.host);
+  if (const auto refusal = FindRoute(call)) return refusal;
+  return headers.context ? IdentifyByContext(*headers.context, call)
+                         : IdentifyByKey(call);
+}
+
+// The caller's timeout and attempt limit can only lower those of the route. The
+// service that the call has is kept if the route still names it.
+std::optional<EntrySystem::Refusal> EntrySystem::FindRoute(EntryCall& call) {
+  call.config_number = config_->number();
+  const auto* route =
+      config_->MatchRoute(call.message.target, call.identity.host);
   if (route == nullptr) return Refusal{Reason::kUnknownRoute, ""};
   call.route = *route;
-  call.service = splits_.Pick(*route);
+  if (!HasService(*route, call.service)) call.service = splits_.Pick(*route);
   call.importance = route->importance;
-  call.deadline = now + route->timeout;
-  if (headers.timeout) {
-    call.caller_timeout = *headers.timeout;
-    call.deadline = std::min(call.deadline, now + *headers.timeout);
+  call.deadline = call.received_at + route->timeout;
+  if (call.caller_timeout) {
+    call.deadline =
+        std::min(call.deadline, call.received_at + *call.caller_timeout);
   }
-  if (headers.context) return IdentifyByContext(headers, call);
-  call.budget = core::attempt::AttemptBudget::FromRoute(route->max_attempts,
-                                                        headers.max_attempts);
+  call.budget = core::attempt::AttemptBudget::FromRoute(
+      route->max_attempts, call.identity.max_attempts);
   call.budget_at_start = call.budget.remaining();
-  return IdentifyByKey(headers, call);
+  return std::nullopt;
 }
 
 // A call made by a running execution uses the execution's account, deadline and
 // attempt budget. It also inherits the importance, because refusing it would
 // waste the work already done for the original request.
 std::optional<EntrySystem::Refusal> EntrySystem::IdentifyByContext(
-    const CallerHeaders& headers, EntryCall& call) {
-  const Execution* parent = ports_.find_context(*headers.context);
+    const std::string& context, EntryCall& call) {
+  const Execution* parent = ports_.find_context(context);
   if (parent == nullptr) {
     return Refusal{Reason::kReservedHeader, "unknown context"};
   }
@@ -144,16 +166,16 @@
 }
 
 std::optional<EntrySystem::Refusal> EntrySystem::IdentifyByKey(
-    const CallerHeaders& headers, EntryCall& call) {
-  if (call.route.open_to_all && !headers.key) {
+    EntryCall& call) {
+  if (call.route.open_to_all && !call.identity.key) {
     const bool nested = ports_.dialect.infers_nested_calls &&
                         ports_.backend_is_busy && ports_.backend_is_busy();
     if (nested) call.hop = 1;
     return std::nullopt;
   }
-  if (!headers.key) return Refusal{Reason::kNoKey, ""};
+  if (!call.identity.key) return Refusal{Reason::kNoKey, ""};
   if (!config_fresh_) return Refusal{Reason::kConfigurationStale, ""};
-  const auto* key = config_->FindKey(ports_.hash_key(*headers.key));
+  const auto* key = config_->FindKey(*call.identity.key);
   const auto* account =
       key == nullptr ? nullptr : config_->FindAccount(key->account);
   if (account == nullptr) return Refusal{Reason::kUnknownKey, ""};
@@ -165,11 +187,27 @@
   return std::nullopt;
 }
 
-void EntrySystem::Admit(EntryCall call, TimePoint now) {
+std::optional<EntrySystem::Refusal> EntrySystem::Reidentify(EntryCall& call) {
+  if (const auto refusal = FindRoute(call)) return refusal;
+  if (const auto refusal = IdentifyByKey(call)) return refusal;
+  call.fingerprint = MakeFingerprint(call);
+  return std::nullopt;
+}
+
+bool EntrySystem::IsOutdated(const EntryCall& call) const {
+  return config_ != nullptr && call.config_number != config_->number();
+}
+
+core::poison::Fingerprint EntrySystem::MakeFingerprint(
+    const EntryCall& call) const {
   const core::poison::FingerprintSource source{
       call.account.value(), call.route.name.value(), call.message.method,
       call.message.target, call.message.body};
-  call.fingerprint = core::poison::MakeFingerprint(source, ports_.digest);
+  return core::poison::MakeFingerprint(source, ports_.digest);
+}
+
+void EntrySystem::Admit(EntryCall call, TimePoint now) {
+  call.fingerprint = MakeFingerprint(call);
   const EntryIndex index = calls_.Add(std::move(call));
   EntryCall& added = *calls_.Find(index);
   added.index = index;
@@ -240,18 +278,43 @@
     ports_.dialect.add_reply_headers(response, {call->request, Ran::kRan, 0});
     return Finish(*call, outcome, std::move(response), now);
   }
+  if (call->stage == EntryStage::kRate) {
+    return OnRateResult(*call, answer, now);
+  }
   if (!answer.admitted) {
     call->may_have_run = answer.ran != Ran::kNotRun;
     return FinishWithRefusal(*call, answer.reason, answer.retry_after, now);
   }
-  if (call->stage == EntryStage::kRate) {
-    call->rate_token_spent = true;
-    return EnterStage(*call, EntryStage::kClaim, now);
-  }
   call->start_before = answer.start_before;
   EnterStage(*call, EntryStage::kDispatch, now);
 }
 
+void EntrySystem::OnRateResult(EntryCall& call, const GateResult& answer,
+                               TimePoint now) {
+  call.rate_token_spent = answer.admitted;
+  if (IsOutdated(call)) return OnOutdatedRate(call, answer, now);
+  if (!answer.admitted) {
+    return FinishWithRefusal(call, answer.reason, answer.retry_after, now);
+  }
+  EnterStage(call, EntryStage::kClaim, now);
+}
+
+// The limiter knows accounts, not keys: it refuses the calls of an account that
+// is gone, though their keys may belong to another one now.
+void EntrySystem::OnOutdatedRate(EntryCall& call, const GateResult& answer,
+                                 TimePoint now) {
+  const core::base::AccountName account = call.account;
+  if (const auto refusal = Reidentify(call)) {
+    return FinishWithRefusal(call, refusal->reason, core::base::Duration(0),
+                             now);
+  }
+  const bool decided =
+      call.account == account && answer.reason != Reason::kUnknownKey;
+  if (decided) return OnRateResult(call, answer, now);
+  call.rate_token_spent = false;
+  EnterStage(call, EntryStage::kRate, now);
+}
+
 // Returns the number of the configuration in use, for the event log.
 std::string EntrySystem::ConfigDetail() const {
   if (!config_) return " config=none";
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -89,12 +89,22 @@
   // Returns true if the request is a call made by an execution of the local
   // backend server.
   bool IsCallOfExecution(const EntryCall& call, TimePoint now) const;
-  std::optional<Refusal> Identify(const CallerHeaders& headers, EntryCall& call,
-                                  TimePoint now);
-  std::optional<Refusal> IdentifyByContext(const CallerHeaders& headers,
+  std::optional<Refusal> Identify(const CallerHeaders& headers,
+                                  EntryCall& call);
+  // Finds the route of the call, and what the route says of it.
+  std::optional<Refusal> FindRoute(EntryCall& call);
+  std::optional<Refusal> IdentifyByContext(const std::string& context,
                                            EntryCall& call);
-  std::optional<Refusal> IdentifyByKey(const CallerHeaders& headers,
-                                       EntryCall& call);
+  std::optional<Refusal> IdentifyByKey(EntryCall& call);
+  // Decides anew on the route and the account of a call that waited while the
+  // configuration changed.
+  std::optional<Refusal> Reidentify(EntryCall& call);
+  core::poison::Fingerprint MakeFingerprint(const EntryCall& call) const;
+  // Returns true if the configuration has changed since the call was decided.
+  bool IsOutdated(const EntryCall& call) const;
+  // Continues or refuses a call for whose rate another configuration decided.
+  void OnOutdatedRate(EntryCall& call, const GateResult& answer, TimePoint now);
+  void OnRateResult(EntryCall& call, const GateResult& answer, TimePoint now);
   std::string ConfigDetail() const;
   void RefuseImmediately(const EntryCall& call, const Refusal& refusal);
   void EnterStage(EntryCall& call, EntryStage stage, TimePoint now);
--- a/src/node/entry_type.h
+++ b/src/node/entry_type.h
@@ -45,13 +45,23 @@
   core::base::TimePoint sent_at;
 };
 
+// What a request says of itself, from which the configuration in force decides
+// on its route and its account.
+struct CallerIdentity {
+  std::string host;  // lower case, without a port
+  std::optional<core::config::KeyHash> key;
+  std::optional<std::uint32_t> max_attempts;
+};
+
 // A request on the node that received it from its caller.
 struct EntryCall {
   EntryIndex index;
   EntryStage stage = EntryStage::kRate;
   http::ExchangeId exchange;
   core::base::RequestId request;
-  core::base::AccountName account;  // empty for a request without a key
+  CallerIdentity identity;
+  core::base::TicketNumber config_number;  // of the configuration that decided
+  core::base::AccountName account;         // empty for a request without a key
   core::config::Route route;
   core::base::ServiceName service;  // of the route, or picked by its split
   core::base::Importance importance = core::base::Importance::kLookup;
--- a/src/node/rate_system.cc
+++ b/src/node/rate_system.cc
@@ -39,7 +39,7 @@
 // Accounts without a rate are unlimited and have no entry in limits_.
 void RateSystem::SetConfig(const core::config::ConfigState& config,
                            TimePoint now) {
-  std::map<AccountName, core::rate::RateLimit> removed = std::move(limits_);
+  std::map<AccountName, core::rate::RateLimit> ended = std::move(limits_);
   limits_.clear();
   for (const auto& [name, account] : config.accounts()) {
     if (account.rate_per_s == 0) continue;
@@ -47,12 +47,13 @@
                                       account.burst};
     limiter_.OnConfig(name, limit);
     limits_[name] = limit;
-    removed.erase(name);
+    ended.erase(name);
   }
   UpdateGrantorLimits(now);
-  for (const auto& [name, limit] : removed) {
+  for (const auto& [name, limit] : ended) {
     grantor_.OnRemoved(name);
-    limiter_.OnRemoved(name);
+    const bool unlimited = config.FindAccount(name) != nullptr;
+    unlimited ? limiter_.OnUnlimited(name) : limiter_.OnRemoved(name);
   }
   ExecuteAll(limiter_.TakeActions(), now);
 }
