--- a/src/core/attempt/attempt_type.h
+++ b/src/core/attempt/attempt_type.h
@@ -27,8 +27,10 @@
   base::Ran ran = base::Ran::kUnknown;
   base::Reason reason = base::Reason::kInternal;
   AttemptCount attempts_left = 0;
-  bool nested = false;             // made by a backend server
-  bool reached = true;             // the request was sent to the backend server
+  bool nested = false;  // made by a backend server
+  bool reached = true;  // the request was sent to the backend server
+  // The backend server has ended its work with an answer that is invalid.
+  bool invalid_answer = false;
   std::uint32_t redirects = 0;     // earlier dispatches that reached none
   std::uint32_t retries_made = 0;  // of this call, at this hop
   base::Duration time_left{0};
--- a/src/core/attempt/retry_func.cc
+++ b/src/core/attempt/retry_func.cc
@@ -15,11 +15,12 @@
 // A request that may have crashed its backend server is not sent to another: it
 // could crash that one as well before the crashes are attributed to the
 // request.
-FailureClass ClassifyFailure(base::Reason reason, base::Ran ran) {
+FailureClass ClassifyFailure(const RetryContext& context) {
   const bool may_have_crashed =
-      reason == base::Reason::kBackendServerFailed && ran != base::Ran::kNotRun;
+      context.reason == base::Reason::kBackendServerFailed &&
+      context.ran != base::Ran::kNotRun && !context.invalid_answer;
   if (may_have_crashed) return FailureClass::kNotRetryable;
-  switch (reason) {
+  switch (context.reason) {
     case base::Reason::kNoBackendServer:
     case base::Reason::kBackendServerLeaving:
     case base::Reason::kShuttingDown:
@@ -64,16 +65,16 @@
 RetryDecision DecideRetry(const RetryContext& context,
                           const RetrySettings& settings, RetryBudget& budget,
                           base::TimePoint now, base::Random& random) {
-  const FailureClass failure_class =
-      ClassifyFailure(context.reason, context.ran);
+  const FailureClass failure_class = ClassifyFailure(context);
   if (failure_class == FailureClass::kNotRetryable) {
     return NoRetry(context.reason);
   }
   if (!IsSafeToRetry(context)) return NoRetry(context.reason);
   if (!context.has_untried_server) return NoRetry(context.reason);
   if (context.attempts_left == 0) return NoRetry(context.reason);
-  const bool outcome_unknown = context.ran != base::Ran::kNotRun;
-  if (outcome_unknown && !settings.repeat_unknown && !context.nested) {
+  const bool may_run_on =
+      context.ran != base::Ran::kNotRun && !context.invalid_answer;
+  if (may_run_on && !settings.repeat_unknown && !context.nested) {
     return NoRetry(context.reason);
   }
   const bool free_redirect = context.ran == base::Ran::kNotRun &&
--- a/src/http/backend_client.h
+++ b/src/http/backend_client.h
@@ -32,6 +32,8 @@
   std::string detail;         // for the event log
   // The connection ended or failed before a complete response.
   bool connection_lost = false;
+  // The backend server has sent an answer whose status is none of HTTP.
+  bool invalid_answer = false;
 };
 
 // Timeouts and size limits of the client.
--- a/src/http/backend_connection.cc
+++ b/src/http/backend_connection.cc
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <string>
 #include <utility>
 
+#include "core/base/http_status.h"
 #include "core/base/reason_table.h"
 
 namespace dogwoodrail::http {
@@ -16,6 +18,7 @@
 using boost::system::error_code;
 using core::base::Ran;
 using core::base::Reason;
+using core::base::StatusKind;
 
 namespace {
 
@@ -26,8 +29,6 @@
 // Responses read before the one to the request: interim responses and late
 // ones to earlier requests.
 constexpr int kMaxSkippedResponses = 16;
-constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kSwitchingProtocols = 101;
 
 // Classifies a response by its Dogwood-Ran header. A refusal of an earlier
 // request may arrive once more in place of the expected response, so that it
@@ -166,6 +167,10 @@
   if (ec && ec != beast::http::error::need_more) {
     return Fail(Reason::kBackendServerFailed, "read: " + ec.message());
   }
+  // The body of what is no response is not waited for.
+  if (parser_->is_header_done() && StatusOfResponse() == StatusKind::kInvalid) {
+    return FailInvalidStatus();
+  }
   if (HasExcessiveFraming()) {
     return Fail(Reason::kBackendServerFailed, "excessive framing of the body");
   }
@@ -210,10 +215,9 @@
 }
 
 void BackendClient::Connection::OnResponse() {
-  const unsigned status = parser_->get().result_int();
-  if (status < kFirstFinalStatus && status != kSwitchingProtocols) {
-    return SkipResponse();
-  }
+  const StatusKind kind = StatusOfResponse();
+  if (kind == StatusKind::kInvalid) return FailInvalidStatus();
+  if (kind == StatusKind::kInterim) return SkipResponse();
   if (parser_->need_eof() && !client_.hooks_.accepts_close_delimited) {
     // A body delimited by the close may have been truncated.
     return Fail(Reason::kBackendServerFailed, "answer without a length");
@@ -222,6 +226,22 @@
   HandleResponse(DecodeResponse(parser_->release()));
 }
 
+StatusKind BackendClient::Connection::StatusOfResponse() const {
+  return core::base::KindOfStatus(
+      static_cast<int>(parser_->get().result_int()));
+}
+
+// The backend server has answered, so that it is not at work on the request any
+// more and has not crashed.
+void BackendClient::Connection::FailInvalidStatus() {
+  keep_alive_ = false;
+  BackendOutcome outcome{
+      Ran::kUnknown, Reason::kBackendServerFailed, Response{},
+      "status " + std::to_string(parser_->get().result_int()), false};
+  outcome.invalid_answer = true;
+  Finish(std::move(outcome));
+}
+
 void BackendClient::Connection::SkipResponse() {
   ++skipped_responses_;
   if (skipped_responses_ <= kMaxSkippedResponses) return ReadResponse();
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "core/base/http_status.h"
 #include "http/backend_client.h"
 #include "http/beast_codec.h"
 
@@ -55,6 +56,10 @@
   void OnReadError(const boost::system::error_code& ec);
   void OnResponse();
   // Reads the response that follows one that is not forwarded.
+  // Returns the kind of the status that was read.
+  core::base::StatusKind StatusOfResponse() const;
+  // Ends the execution whose answer has no status of HTTP.
+  void FailInvalidStatus();
   void SkipResponse();
   void HandleResponse(Response response);
   void Fail(core::base::Reason reason, const std::string& detail);
--- a/src/http/beast_codec.cc
+++ b/src/http/beast_codec.cc
@@ -1,12 +1,17 @@
 #include "http/beast_codec.h"
 
+#include <string>
 #include <utility>
 
+#include "core/base/http_status.h"
+
 namespace dogwoodrail::http {
 
 using core::base::ErrorCode;
+using core::base::KindOfStatus;
 using core::base::MakeError;
 using core::base::Result;
+using core::base::StatusKind;
 
 namespace {
 
@@ -37,6 +42,11 @@
 }
 
 Result<BeastResponse> EncodeResponse(Response response, bool keep_alive) {
+  if (KindOfStatus(response.status) != StatusKind::kFinal) {
+    return MakeError(
+        ErrorCode::kInvalidArgument,
+        "response with the status " + std::to_string(response.status));
+  }
   try {
     BeastResponse message;
     message.version(kHttpVersion);
--- a/src/node/entry_attempt.cc
+++ b/src/node/entry_attempt.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/base/http_status.h"
 #include "core/base/reason_table.h"
 #include "node/entry_base.h"
 #include "node/reply_func.h"
@@ -56,6 +57,17 @@
   return " fingerprint=" + core::poison::FingerprintText(call.fingerprint);
 }
 
+// A serving node of an older version passes on whatever status it was sent.
+void RejectInvalidStatus(wire::AnswerMessage& message) {
+  const bool valid = message.reason != Reason::kNone ||
+                     core::base::KindOfStatus(message.status) ==
+                         core::base::StatusKind::kFinal;
+  if (valid) return;
+  message.ran = Ran::kUnknown;
+  message.reason = Reason::kBackendServerFailed;
+  message.invalid_answer = true;
+}
+
 }  // namespace
 
 void EntrySystem::Dispatch(EntryCall& call, TimePoint now) {
@@ -166,6 +178,7 @@
   if (AttemptBudget* budget = BudgetOf(*call)) {
     budget->Return(call->attempt->share, message.attempts_unspent);
   }
+  RejectInvalidStatus(message);
   Emit(EventNumber::kAttemptAnswered, *call,
        "ran=" + std::string(core::base::RanText(message.ran)) + " reason=" +
            std::string(core::base::GetReasonSpec(message.reason).code));
@@ -178,9 +191,10 @@
   }
   EndAttempt(*call, EndpointResultOf(message.ran, message.reason), message.load,
              now);
-  OnAttemptFailed(
-      *call,
-      {message.ran, message.reason, message.retry_after, message.reached}, now);
+  OnAttemptFailed(*call,
+                  {message.ran, message.reason, message.retry_after,
+                   message.reached, message.invalid_answer},
+                  now);
 }
 
 EntryCall* EntrySystem::FindAttempt(wire::LinkId from,
@@ -251,7 +265,7 @@
 
 void EntrySystem::OnAttemptFailed(EntryCall& call, const Failure& failure,
                                   TimePoint now) {
-  const auto [ran, reason, retry_after, reached] = failure;
+  const auto [ran, reason, retry_after, reached, invalid_answer] = failure;
   if (ran != Ran::kNotRun) call.may_have_run = true;
   call.last_reason = reason;
   call.last_retry_after = retry_after;
@@ -267,6 +281,7 @@
   retry_context.reason = reason;
   retry_context.nested = call.hop > 0;
   retry_context.reached = reached;
+  retry_context.invalid_answer = invalid_answer;
   retry_context.redirects = call.redirects;
   retry_context.attempts_left = budget->remaining();
   retry_context.retries_made = call.dispatches - 1;
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -76,7 +76,8 @@
     core::base::Ran ran;
     core::base::Reason reason;
     core::base::Duration retry_after;
-    bool reached;  // the backend server was sent the request
+    bool reached;                 // the backend server was sent the request
+    bool invalid_answer = false;  // and has answered with no status of HTTP
   };
   struct Refusal {
     core::base::Reason reason;
--- a/src/node/serving_base.cc
+++ b/src/node/serving_base.cc
@@ -249,6 +249,7 @@
         ports_.get_backpressure(execution->message.route, now);
   }
   answer.reached = true;
+  answer.invalid_answer = outcome.invalid_answer;
   ports_.reply(execution->origin, std::move(answer));
   Remove(*execution, now);
   Apply(actions, now);
--- a/src/objectapi/http_exchange.cc
+++ b/src/objectapi/http_exchange.cc
@@ -12,8 +12,11 @@
 #include <cstring>
 #include <exception>
 #include <istream>
+#include <string>
 #include <string_view>
 
+#include "core/base/http_status.h"
+
 namespace dogwoodrail::objectapi {
 namespace {
 
@@ -104,6 +107,12 @@
                                 const std::string& body) {
   HttpResponse response;
   response.status = header.httpReturnCode();
+  const auto kind = core::base::KindOfStatus(static_cast<int>(response.status));
+  if (kind != core::base::StatusKind::kFinal) {
+    return MakeError(ErrorCode::kOutcomeUnknown,
+                     "the response has the status " +
+                         std::to_string(response.status));
+  }
   response.object_version = ReadNumberHeader(header, "Object-Version");
   response.body = body;
   const auto length = ReadNumberHeader(header, "Content-Length");
--- a/src/wire/call_codec.cc
+++ b/src/wire/call_codec.cc
@@ -163,6 +163,7 @@
   answer.add_body(body);
   answer.add_load(load);
   answer.add_reached(message.reached);
+  answer.add_invalid_answer(message.invalid_answer);
   if (!message.backpressure.AdmitsAll()) {
     answer.add_bottleneck(message.backpressure.bottleneck.value());
     answer.add_admit(PackShares(message.backpressure.admit));
@@ -191,6 +192,7 @@
   message.headers = ReadHeaders(answer->headers());
   message.body = ReadBody(answer->body());
   message.reached = answer->reached();
+  message.invalid_answer = answer->invalid_answer();
   message.backpressure.bottleneck =
       core::chain::ServiceHash(answer->bottleneck());
   message.backpressure.admit = UnpackShares(answer->admit());
--- a/src/wire/call_generated.h
+++ b/src/wire/call_generated.h
@@ -566,7 +566,8 @@
     VT_LOAD = 20,
     VT_REACHED = 22,
     VT_BOTTLENECK = 24,
-    VT_ADMIT = 26
+    VT_ADMIT = 26,
+    VT_INVALID_ANSWER = 28
   };
   uint64_t call() const { return GetField<uint64_t>(VT_CALL, 0); }
   uint8_t ran() const { return GetField<uint8_t>(VT_RAN, 0); }
@@ -593,6 +594,9 @@
   bool reached() const { return GetField<uint8_t>(VT_REACHED, 0) != 0; }
   uint32_t bottleneck() const { return GetField<uint32_t>(VT_BOTTLENECK, 0); }
   uint32_t admit() const { return GetField<uint32_t>(VT_ADMIT, 4294967295); }
+  bool invalid_answer() const {
+    return GetField<uint8_t>(VT_INVALID_ANSWER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -608,7 +612,9 @@
            VerifyOffset(verifier, VT_LOAD) && verifier.VerifyTable(load()) &&
            VerifyField<uint8_t>(verifier, VT_REACHED, 1) &&
            VerifyField<uint32_t>(verifier, VT_BOTTLENECK, 4) &&
-           VerifyField<uint32_t>(verifier, VT_ADMIT, 4) && verifier.EndTable();
+           VerifyField<uint32_t>(verifier, VT_ADMIT, 4) &&
+           VerifyField<uint8_t>(verifier, VT_INVALID_ANSWER, 1) &&
+           verifier.EndTable();
   }
 };
 
@@ -656,6 +662,10 @@
   void add_admit(uint32_t admit) {
     fbb_.AddElement<uint32_t>(Answer::VT_ADMIT, admit, 4294967295);
   }
+  void add_invalid_answer(bool invalid_answer) {
+    fbb_.AddElement<uint8_t>(Answer::VT_INVALID_ANSWER,
+                             static_cast<uint8_t>(invalid_answer), 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -675,8 +685,8 @@
         headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0,
-    bool reached = false, uint32_t bottleneck = 0,
-    uint32_t admit = 4294967295) {
+    bool reached = false, uint32_t bottleneck = 0, uint32_t admit = 4294967295,
+    bool invalid_answer = false) {
   AnswerBuilder builder_(_fbb);
   builder_.add_retry_after_us(retry_after_us);
   builder_.add_call(call);
@@ -687,6 +697,7 @@
   builder_.add_headers(headers);
   builder_.add_status(status);
   builder_.add_attempts_unspent(attempts_unspent);
+  builder_.add_invalid_answer(invalid_answer);
   builder_.add_reached(reached);
   builder_.add_reason(reason);
   builder_.add_ran(ran);
@@ -706,8 +717,8 @@
         headers = nullptr,
     const std::vector<uint8_t>* body = nullptr,
     flatbuffers::Offset<dogwoodrail::wire::fbs::LoadHint> load = 0,
-    bool reached = false, uint32_t bottleneck = 0,
-    uint32_t admit = 4294967295) {
+    bool reached = false, uint32_t bottleneck = 0, uint32_t admit = 4294967295,
+    bool invalid_answer = false) {
   auto headers__ =
       headers ? _fbb.CreateVector<
                     flatbuffers::Offset<dogwoodrail::wire::fbs::HeaderField>>(
@@ -716,7 +727,7 @@
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return dogwoodrail::wire::fbs::CreateAnswer(
       _fbb, call, ran, reason, retry_after_us, attempts_unspent, status,
-      headers__, body__, load, reached, bottleneck, admit);
+      headers__, body__, load, reached, bottleneck, admit, invalid_answer);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/wire/call_message.h
+++ b/src/wire/call_message.h
@@ -58,6 +58,7 @@
   core::route::LoadHint load;
   core::chain::Backpressure backpressure;
   bool reached = false;  // the request was sent to the backend server
+  bool invalid_answer = false;  // its answer had no status of HTTP
 };
 
 // Encode messages as complete frames.
--- a/tests/integration/platform/faulty_answer_test.cc
+++ b/tests/integration/platform/faulty_answer_test.cc
@@ -1,6 +1,8 @@
-// Instances that write a refusal once more, or stop in the middle of the head
-// of their answer.
+// Instances that write a refusal once more, stop in the middle of the head of
+// their answer, or answer with a status that is none of HTTP.
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,6 +16,8 @@
 
 constexpr milliseconds kServiceTime{40};
 constexpr int kRequests = 12;
+// Far below the deadline of the requests, and enough for a busy machine.
+constexpr milliseconds kAtOnce{1500};
 
 // When and how a refusal is written once more.
 struct Repetition {
@@ -73,6 +77,17 @@
   std::string refused_;
 };
 
+// Answers, whole but for their status, to requests with "odd" in the path.
+InstanceScript OddStatusScript(const std::string& status) {
+  return [status](const InstanceRequest& request) {
+    std::string text = PlatformInstance::SuccessText(request);
+    if (request.target.find("odd") != std::string::npos) {
+      text.replace(text.find("200"), status.size(), status);
+    }
+    return InstanceAnswer{true, {{milliseconds(0), text}}};
+  };
+}
+
 bool IsNotRun(int status) { return status == 503 || status == 429; }
 
 // Parts of a head after which the instance closes the connection.
@@ -159,6 +174,49 @@
   }
 }
 
+// The caller got the status as an answer, or nothing until its deadline.
+BOOST_AUTO_TEST_CASE(answer_with_a_status_that_is_none_is_refused_at_once) {
+  PlatformFleet fleet("odd_status", {"lots"});
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    BOOST_TEST_CONTEXT("status " << status) {
+      fleet.instance(0).SetScript(OddStatusScript(status));
+      for (int it = 0; it < kRequests; ++it) {
+        const std::string tail = status + std::to_string(it);
+        BOOST_TEST(fleet.Send(0, "GET", "/read/" + tail).status == 200);
+        const std::string path = "/write/odd" + tail;
+        const auto begin = std::chrono::steady_clock::now();
+        const RawResponse response = fleet.Send(0, "POST", path, "b");
+        BOOST_TEST((std::chrono::steady_clock::now() - begin < kAtOnce));
+        BOOST_TEST(response.status == 502);
+        BOOST_TEST(fleet.CountRuns(path) == 1U);
+      }
+    }
+  }
+}
+
+// A request that may be repeated is sent to the other instance.
+BOOST_AUTO_TEST_CASE(idempotent_request_goes_elsewhere_after_an_odd_status) {
+  std::set<std::string> seen;  // by the instances, on their one thread
+  PlatformFleet fleet("odd_status_repeat", {"lots", "lots"});
+  for (std::size_t it = 0; it < fleet.size(); ++it) {
+    fleet.instance(it).SetScript([&seen](const InstanceRequest& request) {
+      const bool first = seen.insert(request.target).second;
+      return OddStatusScript(first ? "000" : "200")(request);
+    });
+  }
+  int repeated = 0;
+  for (int it = 0; it < kRequests; ++it) {
+    const std::string path = "/read/odd" + std::to_string(it);
+    const auto begin = std::chrono::steady_clock::now();
+    const int status = fleet.Send(0, "GET", path).status;
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < kAtOnce));
+    BOOST_TEST((status == 200 || status == 502));
+    const std::size_t runs = fleet.CountRuns(path);
+    if (status == 200 && runs == 2) ++repeated;
+  }
+  BOOST_TEST(repeated > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace dogwoodrail::integration
--- a/tests/unit/attempt/retry_test.cc
+++ b/tests/unit/attempt/retry_test.cc
@@ -143,6 +143,23 @@
   BOOST_TEST((highest > milliseconds{480}));
 }
 
+// An answer with an invalid status is proof that the backend server neither
+// crashed nor is still at work.
+BOOST_AUTO_TEST_CASE(idempotent_request_is_retried_after_an_invalid_answer) {
+  RetryContext context = RetryableContext();
+  context.reason = Reason::kBackendServerFailed;
+  context.invalid_answer = true;
+  BOOST_TEST(IsRetried(context));
+  RetrySettings settings;
+  settings.repeat_unknown = false;
+  base::Random random(1);
+  RetryBudget budget(100);
+  BOOST_TEST(
+      DecideRetry(context, settings, budget, At(seconds{1}), random).retry);
+  context.idempotent = false;
+  BOOST_TEST(!IsRetried(context));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/wire/frame_test.cc
+++ b/tests/unit/wire/frame_test.cc
@@ -142,6 +142,19 @@
   BOOST_TEST(!DecodeTruncatedId(Bytes(100, 0xff)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(answer_says_that_the_status_was_invalid) {
+  AnswerMessage answer;
+  answer.invalid_answer = true;
+  FrameDecoder decoder;
+  const Bytes bytes = EncodeAnswer(answer);
+  decoder.Append(bytes.data(), bytes.size());
+  const auto frame = decoder.Next();
+  BOOST_REQUIRE((frame && *frame));
+  const auto decoded = DecodeAnswer((*frame)->payload);
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->invalid_answer);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
