--- a/src/core/backend/backend_type.h
+++ b/src/core/backend/backend_type.h
@@ -55,6 +55,15 @@
   base::ServiceName service;
   std::string address;
   std::uint32_t slots = 0;
+
+  // Returns true if both are the same process in the same state.
+  friend bool operator==(const BackendStatus& a, const BackendStatus& b) {
+    return a.state == b.state && a.instance == b.instance &&
+           a.service == b.service;
+  }
+  friend bool operator!=(const BackendStatus& a, const BackendStatus& b) {
+    return !(a == b);
+  }
 };
 
 }  // namespace dogwoodrail::core::backend
--- a/src/core/rate/rate_grantor.h
+++ b/src/core/rate/rate_grantor.h
@@ -29,7 +29,7 @@
 
   // Sets the rate and burst of an account.
   void OnConfig(const AccountName& account, RateLimit limit, TimePoint now);
-  // Removes an account from the configuration.
+  // Ends the limit of an account: its tokens are granted no more.
   void OnRemoved(const AccountName& account);
 
   // Creates the ledger of an account, if this node owns the shard, so that it
--- a/src/node/backend_system.cc
+++ b/src/node/backend_system.cc
@@ -5,7 +5,7 @@
 
 namespace dogwoodrail::node {
 
-using core::base::BackendServerState;
+using core::backend::BackendStatus;
 using core::base::Ran;
 using core::base::Reason;
 
@@ -72,14 +72,14 @@
 }
 
 void BackendSystem::OnDrainMark(const DrainMark& mark, TimePoint now) {
-  const BackendServerState before = watch_.status().state;
+  const BackendStatus before = watch_.status();
   watch_.OnDrainMark(mark);
   AnnounceChange(before, now);
 }
 
 void BackendSystem::OnOutcome(const http::BackendOutcome& outcome,
                               TimePoint now) {
-  const BackendServerState before = watch_.status().state;
+  const BackendStatus before = watch_.status();
   if (outcome.response.status != 0) {
     watch_.OnAnswered(now);
     if (outcome.reason == Reason::kNoBackendServer) watch_.OnOtherInstance(now);
@@ -91,7 +91,7 @@
 }
 
 void BackendSystem::Tick(TimePoint now) {
-  const BackendServerState before = watch_.status().state;
+  const BackendStatus before = watch_.status();
   watch_.Tick(now);
   if (watch_.TakeReplaced()) node_.poison().OnProcessEnded(now);
   AnnounceChange(before, now);
@@ -113,14 +113,14 @@
 
 void BackendSystem::OnHealth(const core::backend::HealthReport& report,
                              TimePoint now) {
-  const BackendServerState before = watch_.status().state;
+  const BackendStatus before = watch_.status();
   watch_.OnHealth(report, now);
   ReportOwnService();
   AnnounceChange(before, now);
 }
 
-void BackendSystem::AnnounceChange(BackendServerState before, TimePoint now) {
-  if (watch_.status().state != before) Announce(now);
+void BackendSystem::AnnounceChange(const BackendStatus& before, TimePoint now) {
+  if (watch_.status() != before) Announce(now);
 }
 
 void BackendSystem::Announce(TimePoint now) {
--- a/src/node/backend_system.h
+++ b/src/node/backend_system.h
@@ -52,8 +52,9 @@
   void OnHealth(const core::backend::HealthReport& report, TimePoint now);
   // Announces the current state to the serving system.
   void Announce(TimePoint now);
-  // Announces the current state if it differs from the given one.
-  void AnnounceChange(core::base::BackendServerState before, TimePoint now);
+  // Announces the current status if it differs from the given one.
+  void AnnounceChange(const core::backend::BackendStatus& before,
+                      TimePoint now);
   // Passes on the drain mark if it differs from the given one.
   void ReportDrain(const std::optional<DrainMark>& before, TimePoint now);
   // Passes on the service of the VM if it has changed.
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -1,14 +1,13 @@
 #include "node/hosted_node.h"
 
-#include <chrono>
 #include <iostream>
 #include <memory>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "node/backend_system.h"
 #include "node/config_follow_system.h"
+#include "node/control_system.h"
 #include "node/directory_system.h"
 #include "node/event_log.h"
 #include "node/node_base.h"
@@ -29,13 +28,8 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
-// Longest delay of an acknowledgement until the drain mark is written to the
-// store.
-constexpr core::base::Duration kDrainWriteTimeout =
-    std::chrono::milliseconds(300);
 
 // A node and the systems that connect it to the platform that hosts it.
 class HostedNode {
@@ -56,6 +50,8 @@
         settings_.host.directory, RandomSeed(), *node_, ports_, emit_);
     backend_ = std::make_unique<BackendSystem>(settings_.host.watch, *node_,
                                                ports_, emit_);
+    control_ = std::make_unique<ControlSystem>(*backend_, *directory_,
+                                               MakeControlPorts());
     Connect();
     return Listen();
   }
@@ -63,12 +59,6 @@
   Node& node() { return *node_; }
 
  private:
-  // An acknowledgement delayed until the store has written the drain mark.
-  struct PendingAck {
-    http::ExchangeId exchange;
-    TimePoint deadline;
-  };
-
   void Connect() {
     node_->SetFreshnessCheck(
         [this](TimePoint now) { return config_->IsFresh(now); });
@@ -94,6 +84,16 @@
     node_->AddTickHandler([this](TimePoint now) { Tick(now); });
   }
 
+  ControlPorts MakeControlPorts() {
+    ControlPorts ports;
+    ports.read_notice = ports_.read_notice;
+    ports.answer = [this](http::ExchangeId exchange, http::Response response) {
+      control_server_->Answer(exchange, std::move(response));
+    };
+    ports.emit = emit_;
+    return ports;
+  }
+
   Result<void> Listen() {
     if (auto ok = node_->Listen(); !ok) return ok;
     ready_server_ = MakeServer(
@@ -102,7 +102,7 @@
         });
     control_server_ = MakeServer(
         [this](http::ExchangeId exchange, const http::Request& request) {
-          OnControl(exchange, request);
+          control_->OnRequest(exchange, request, Node::Now());
         });
     if (auto ok = ListenAt(*ready_server_, settings_.host.ready_address); !ok) {
       return ok;
@@ -144,73 +144,11 @@
     return MakeTextResponse(ready ? kOk : kUnavailable, "text/plain", "");
   }
 
-  void OnControl(http::ExchangeId exchange, const http::Request& request) {
-    const TimePoint now = Node::Now();
-    const BackendNotice notice = ports_.read_notice(request);
-    if (const auto* heartbeat =
-            std::get_if<core::backend::Heartbeat>(&notice)) {
-      return OnHeartbeat(exchange, *heartbeat, now);
-    }
-    if (const auto* leave = std::get_if<LeaveNotice>(&notice)) {
-      backend_->OnLeave(*leave, now);
-      return Acknowledge(exchange, true, now);
-    }
-    emit_({EventNumber::kHeartbeatIgnored, {}, {}, "cause=unreadable"});
-    control_server_->Answer(
-        exchange, MakeTextResponse(kBadRequest, "application/json", "{}"));
-  }
-
-  // An acknowledgement is a promise to observe what the sender has announced. A
-  // heartbeat that cannot be used gets none, and its sender may ask elsewhere.
-  void OnHeartbeat(http::ExchangeId exchange,
-                   const core::backend::Heartbeat& heartbeat, TimePoint now) {
-    const bool foreign = backend_->IsForeign(heartbeat);
-    if (!backend_->OnHeartbeat(heartbeat, now)) {
-      emit_({EventNumber::kHeartbeatIgnored,
-             {},
-             {},
-             std::string("cause=") + (foreign ? "foreign" : "outdated") +
-                 " instance=" + heartbeat.instance.value() +
-                 " service=" + heartbeat.service.value() +
-                 " sequence=" + std::to_string(heartbeat.sequence)});
-    }
-    if (!foreign) return Acknowledge(exchange, heartbeat.draining, now);
-    control_server_->Answer(
-        exchange, MakeTextResponse(kConflict, "application/json", "{}"));
-  }
-
-  // After a restart the node must know which drains it has acknowledged, so the
-  // acknowledgement follows the write to the store. If the store is unavailable
-  // it is sent after kDrainWriteTimeout, because this process observes the
-  // drain in any case.
-  void Acknowledge(http::ExchangeId exchange, bool wait_for_store,
-                   TimePoint now) {
-    if (wait_for_store && !directory_->is_written()) {
-      pending_acks_.push_back({exchange, now + kDrainWriteTimeout});
-      return;
-    }
-    control_server_->Answer(exchange,
-                            MakeTextResponse(kOk, "application/json", "{}"));
-  }
-
   void Tick(TimePoint now) {
     config_->Tick(now);
     directory_->Tick(now);
     backend_->Tick(now);
-    AnswerPending(now);
-  }
-
-  void AnswerPending(TimePoint now) {
-    std::vector<PendingAck> waiting;
-    for (const PendingAck& it : std::exchange(pending_acks_, {})) {
-      if (directory_->is_written() || now >= it.deadline) {
-        control_server_->Answer(
-            it.exchange, MakeTextResponse(kOk, "application/json", "{}"));
-      } else {
-        waiting.push_back(it);
-      }
-    }
-    pending_acks_ = std::move(waiting);
+    control_->Tick(now);
   }
 
   Settings settings_;
@@ -221,9 +159,9 @@
   std::unique_ptr<ConfigFollowSystem> config_;
   std::unique_ptr<DirectorySystem> directory_;
   std::unique_ptr<BackendSystem> backend_;
+  std::unique_ptr<ControlSystem> control_;
   std::unique_ptr<http::CallerServer> ready_server_;
   std::unique_ptr<http::CallerServer> control_server_;
-  std::vector<PendingAck> pending_acks_;
 };
 
 }  // namespace
--- a/src/node/rate_system.cc
+++ b/src/node/rate_system.cc
@@ -52,8 +52,11 @@
   UpdateGrantorLimits(now);
   for (const auto& [name, limit] : ended) {
     grantor_.OnRemoved(name);
-    const bool unlimited = config.FindAccount(name) != nullptr;
-    unlimited ? limiter_.OnUnlimited(name) : limiter_.OnRemoved(name);
+    if (config.FindAccount(name) != nullptr) {
+      limiter_.OnUnlimited(name);
+    } else {
+      limiter_.OnRemoved(name);
+    }
   }
   ExecuteAll(limiter_.TakeActions(), now);
 }
--- a/src/objectapi/http_exchange.cc
+++ b/src/objectapi/http_exchange.cc
@@ -109,9 +109,9 @@
   response.status = header.httpReturnCode();
   const auto kind = core::base::KindOfStatus(static_cast<int>(response.status));
   if (kind != core::base::StatusKind::kFinal) {
-    return MakeError(ErrorCode::kOutcomeUnknown,
-                     "the response has the status " +
-                         std::to_string(response.status));
+    return MakeError(
+        ErrorCode::kOutcomeUnknown,
+        "the response has the status " + std::to_string(response.status));
   }
   response.object_version = ReadNumberHeader(header, "Object-Version");
   response.body = body;
--- a/src/wire/call_message.h
+++ b/src/wire/call_message.h
@@ -57,7 +57,7 @@
   std::string body;
   core::route::LoadHint load;
   core::chain::Backpressure backpressure;
-  bool reached = false;  // the request was sent to the backend server
+  bool reached = false;         // the request was sent to the backend server
   bool invalid_answer = false;  // its answer had no status of HTTP
 };
 
--- a/tests/integration/platform/reused_address_test.cc
+++ b/tests/integration/platform/reused_address_test.cc
@@ -122,6 +122,28 @@
   BOOST_TEST(caller == "wages");
 }
 
+// Heartbeats of a service that does not exist and for another address were
+// acknowledged and ignored.
+BOOST_AUTO_TEST_CASE(heartbeat_that_cannot_be_used_is_not_acknowledged) {
+  PlatformFleet fleet("foreign_heartbeats", {"lots", "lots"});
+  const auto post = [&fleet](const std::string& service, std::size_t address) {
+    const std::string body =
+        R"({"service":")" + service + R"(","addr":"127.0.0.1:)" +
+        std::to_string(fleet.instance_port(address)) +
+        R"(","zone":"a","version":"v1","capacity":20,"state":"draining",)"
+        R"("born":1,"cold_left_ms":0,"sequence":1})";
+    return fleet
+        .PostControl(0, "/dogwoodrail/instances/i-other/heartbeat", body)
+        .status;
+  };
+  BOOST_TEST(post("nobody", 0) == 409);
+  BOOST_TEST(post("lots", 1) == 409);
+  BOOST_TEST(post("lots", 0) == 200);
+  for (std::size_t it = 0; it < fleet.size(); ++it) {
+    BOOST_TEST(fleet.Send(it, "GET", "/read/after").status == 200);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace dogwoodrail::integration
--- a/tests/unit/entry/answer_test.cc
+++ b/tests/unit/entry/answer_test.cc
@@ -55,13 +55,13 @@
   EntryPorts MakePorts() {
     EntryPorts ports;
     ports.dialect = MakeOwnDialect();
-    ports.emit = [](core::base::Event) {};
+    ports.emit = [](const core::base::Event&) {};
     ports.make_request_id = [] { return core::base::RequestId("r-1"); };
     ports.digest = [](std::string_view) { return core::poison::Fingerprint(); };
     ports.answer = [this](http::ExchangeId, http::Response response) {
       status = response.status;
     };
-    ports.send = [this](const NodeAddress&, wire::CallMessage message)
+    ports.send = [this](const NodeAddress&, const wire::CallMessage& message)
         -> core::base::Result<std::optional<wire::SentFrame>> {
       sent = message.call;
       return std::nullopt;
--- a/tests/unit/entry/config_change_test.cc
+++ b/tests/unit/entry/config_change_test.cc
@@ -74,7 +74,7 @@
   EntryPorts MakePorts() {
     EntryPorts ports;
     ports.dialect = MakeOwnDialect();
-    ports.emit = [](core::base::Event) {};
+    ports.emit = [](const core::base::Event&) {};
     ports.make_request_id = [] { return core::base::RequestId("r-1"); };
     ports.hash_key = [](const std::string& key) {
       return KeyHash("hash-of-" + key);
