--- a/src/node/entry_identify.cc
+++ b/src/node/entry_identify.cc
@@ -59,7 +59,7 @@
   if (headers.key) call.identity.key = ports_.hash_key(*headers.key);
   if (headers.timeout) call.caller_timeout = *headers.timeout;
   if (!config_) return Refusal{Reason::kNoConfiguration, ""};
-  if (const auto refusal = FindRoute(call)) return refusal;
+  if (auto refusal = FindRoute(call)) return refusal;
   return headers.context ? IdentifyByContext(*headers.context, call)
                          : IdentifyByKey(call);
 }
@@ -126,8 +126,8 @@
 }
 
 std::optional<EntrySystem::Refusal> EntrySystem::Reidentify(EntryCall& call) {
-  if (const auto refusal = FindRoute(call)) return refusal;
-  if (const auto refusal = IdentifyByKey(call)) return refusal;
+  if (auto refusal = FindRoute(call)) return refusal;
+  if (auto refusal = IdentifyByKey(call)) return refusal;
   call.fingerprint = MakeFingerprint(call);
   return std::nullopt;
 }
