Tests of the platform wait for the lines of a node's log

Cause: a node's log is written by a thread of its own, and these tests read it right after the answer.

Change: WaitLogLine reads until the line is there, 2 s at most. What the line must hold is asked as before; the checks that a line is absent are untouched.

--- a/tests/integration/platform/common/fleet.cc
+++ b/tests/integration/platform/common/fleet.cc
@@ -16,6 +16,7 @@
 
 constexpr std::chrono::seconds kStartTimeout{20};
 constexpr std::chrono::seconds kCallTimeout{2};
+constexpr std::chrono::seconds kLogTimeout{2};
 constexpr const char* kKey = "test-key-1";
 
 std::string Loopback(std::uint16_t port) {
@@ -127,6 +128,16 @@
   return "";
 }
 
+std::string PlatformFleet::WaitLogLine(std::size_t it, const std::string& event,
+                                       const std::string& text) const {
+  std::string line;
+  WaitUntil(kLogTimeout, [&] {
+    line = LogLine(it, event, text);
+    return !line.empty();
+  });
+  return line;
+}
+
 // The template gives all nodes the same ports on addresses of their own; here
 // they share an address and have ports of their own.
 std::string PlatformFleet::WriteSettings(std::size_t it) const {
--- a/tests/integration/platform/common/fleet.h
+++ b/tests/integration/platform/common/fleet.h
@@ -60,6 +60,11 @@
   std::string LogLine(std::size_t it, const std::string& event,
                       const std::string& text) const;
 
+  // The same, once the node has written such a line: its log is written by a
+  // thread of its own.
+  std::string WaitLogLine(std::size_t it, const std::string& event,
+                          const std::string& text) const;
+
   // Sends a client attempt with an id of its own to a node.
   RawResponse Send(std::size_t it, const std::string& method,
                    const std::string& path, const std::string& body = "");
--- a/tests/integration/platform/crash_request_test.cc
+++ b/tests/integration/platform/crash_request_test.cc
@@ -89,11 +89,11 @@
   BOOST_TEST(fleet.Metric(1, "dogwoodrail_poison_blocked") == 1);
   BOOST_TEST(fleet.Metric(1, "dogwoodrail_poison_refused_total") == 1);
   const std::string id = response.Header("Attempt-Id");
-  const std::string refusal = fleet.LogLine(1, " 102 ", id);
+  const std::string refusal = fleet.WaitLogLine(1, " 102 ", id);
   const std::size_t mark = refusal.find("fingerprint=");
   BOOST_REQUIRE(mark != std::string::npos);
   const std::string fingerprint = refusal.substr(mark);
-  const std::string block = fleet.LogLine(1, " 702 ", fingerprint);
+  const std::string block = fleet.WaitLogLine(1, " 702 ", fingerprint);
   BOOST_TEST(block.find(" node=127.0.0.1:") != std::string::npos);
   BOOST_TEST(block.find(" age_ms=") != std::string::npos);
 }
--- a/tests/integration/platform/odd_entry_test.cc
+++ b/tests/integration/platform/odd_entry_test.cc
@@ -83,7 +83,7 @@
       return fleet.Metric(it, "dogwoodrail_configuration_number") == 2;
     }));
     BOOST_TEST(fleet.node(it).IsRunning());
-    BOOST_TEST(!fleet.LogLine(it, " 606 ", "name=odd-large").empty());
+    BOOST_TEST(!fleet.WaitLogLine(it, " 606 ", "name=odd-large").empty());
     BOOST_TEST(fleet.LogLine(it, " 603 ", "cause=").empty());
     BOOST_TEST(fleet.Send(it, "GET", "/read/after").status == 200);
   }
@@ -144,7 +144,7 @@
   }
   for (std::thread& it : callers) it.join();
   BOOST_TEST(served == kCallers);
-  BOOST_TEST(!fleet.LogLine(0, " 507 ", "cause=unreadable").empty());
+  BOOST_TEST(!fleet.WaitLogLine(0, " 507 ", "cause=unreadable").empty());
   BOOST_TEST(fleet.Metric(0, "dogwoodrail_handler_failures_total") == 0);
   const std::size_t before = fleet.instance(0).RunsByTarget().size();
   for (int it = 0; it < kCallers; ++it) {
