--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -33,8 +33,9 @@
   Record& record = *new Record(arguments.record);
   std::vector<VmSpec> specs;
   for (const char* zone : {"alm-a", "alm-b", "alm-c"}) {
-    for (const std::string& it : services)
+    for (const std::string& it : services) {
       specs.push_back({zone, "almaty", it});
+    }
   }
   Fleet& fleet = *new Fleet(arguments.root, record, specs);
   if (!fleet.Start(ConfigOf(1, 1000, true), {"/list/0", "/ledger/0"},
--- a/review/common-3/rig.cc
+++ b/review/common-3/rig.cc
@@ -35,7 +35,7 @@
   return address;
 }
 
-bool WaitFor(int fd, short events, std::int64_t timeout_ms) {
+bool WaitFor(int fd, decltype(pollfd::events) events, std::int64_t timeout_ms) {
   pollfd it{fd, events, 0};
   return ::poll(&it, 1,
                 static_cast<int>(std::max<std::int64_t>(timeout_ms, 0))) > 0;
@@ -136,7 +136,9 @@
 std::string Message::RequestText(const std::string& host) const {
   std::string text = method + " " + target + " HTTP/1.1\r\n";
   if (Header("Host").empty()) text += "Host: " + host + "\r\n";
-  for (const auto& [key, value] : headers) text += key + ": " + value + "\r\n";
+  for (const auto& [key, value] : headers) {
+    text.append(key).append(": ").append(value).append("\r\n");
+  }
   if (!body.empty() || method == "POST" || method == "PUT") {
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   }
@@ -145,7 +147,9 @@
 
 std::string Message::ResponseText() const {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
-  for (const auto& [key, value] : headers) text += key + ": " + value + "\r\n";
+  for (const auto& [key, value] : headers) {
+    text.append(key).append(": ").append(value).append("\r\n");
+  }
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return text + "\r\n" + body;
 }
@@ -427,8 +431,9 @@
     return Answer(200, ToJson(name, it->second));
   }
   Json items = Json::array();
-  for (const auto& [key, object] : objects)
+  for (const auto& [key, object] : objects) {
     items.push_back(ToJson(key, object));
+  }
   return Answer(
       200, {{"items", items}, {"has_more", false}, {"at", state_.revision}});
 }
@@ -740,6 +745,7 @@
   std::istringstream parts(run);
   for (std::string word; parts >> word;) words.push_back(word);
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (std::string& word : words) argv.push_back(word.data());
   argv.push_back(nullptr);
   const std::string env = "DOGWOODRAIL_CONFIG=" + vm.settings_file;
