Observability: the store's era, and what each answer of it said and changed

Now in the log and on the time line:

- 607 store_era_changed: the era that the store's answers state has risen.
- 608 configuration_read: each answer but "unchanged while reached all along": what was asked (after=), the answer's era and revision, the number read and the one in force.
An "unchanged" that is the first answer after a failure is reported: that is the answer that hides a change if the era differs.
- 602 configuration_refused: also a version read that is older than the one in force; with era and the number in force.
- 605 configuration_stale: what confirmed last (read, watch, peer).
- 103, 102, 106: decided_by=, the configuration by which a call was routed, and its service; the time of 103 is when it was sent on.
- Metrics dogwoodrail_store_era and _store_era_changes_total.

--- a/src/core/base/event_type.h
+++ b/src/core/base/event_type.h
@@ -50,6 +50,8 @@
   kPlatformRestored = 604,
   kConfigurationStale = 605,
   kObjectSkipped = 606,
+  kStoreEraChanged = 607,
+  kConfigurationRead = 608,
   // 7xx poison requests
   kPoisonSuspected = 701,
   kPoisonStopped = 702,
--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -88,13 +88,16 @@
     response_time_ = std::clamp(2 * response_time, settings_.min_response_time,
                                 settings_.max_response_time);
   }
-  Confirm(timed_out ? open->sent_at + wait : open->sent_at);
+  Confirm(timed_out ? open->sent_at + wait : open->sent_at,
+          open->call.watch ? ConfirmSource::kWatch : ConfirmSource::kRead);
   revision_ = revision;
   revision_at_ = now;
 }
 
-void ConfigFollower::Confirm(base::TimePoint time) {
-  confirmed_at_ = confirmed_ ? std::max(confirmed_at_, time) : time;
+void ConfigFollower::Confirm(base::TimePoint time, ConfirmSource source) {
+  if (confirmed_ && time <= confirmed_at_) return;
+  confirmed_at_ = time;
+  confirmed_by_ = source;
   confirmed_ = true;
 }
 
--- a/src/core/config/config_follower.h
+++ b/src/core/config/config_follower.h
@@ -5,15 +5,12 @@
 #include <optional>
 #include <vector>
 
-#include "core/base/id_type.h"
 #include "core/base/random_type.h"
 #include "core/base/time_type.h"
+#include "core/config/store_era.h"
 
 namespace dogwoodrail::core::config {
 
-// Revision of the store that holds the configuration.
-using StoreRevision = base::StrongNumber<struct StoreRevisionTag>;
-
 // Timing of reads and watches of the configuration.
 struct FollowSettings {
   // Maximum wait of one watch; limits the age of the known configuration.
@@ -48,6 +45,9 @@
   base::Duration wait{0};  // for a watch
 };
 
+// What last confirmed the configuration.
+enum class ConfirmSource : std::uint8_t { kNone, kRead, kWatch, kPeer };
+
 // Result of a call to the store.
 enum class FollowResult : std::uint8_t {
   kRead,         // read the configuration, or that there is none
@@ -73,7 +73,9 @@
                 base::TimePoint now);
   // Handles a confirmation by another node: the store confirmed the
   // configuration at `time` or later.
-  void Confirm(base::TimePoint time);
+  void ConfirmByPeer(base::TimePoint time) {
+    Confirm(time, ConfirmSource::kPeer);
+  }
   // Accounts for a time during which the process was suspended and its clock
   // stopped.
   void OnSuspended(base::Duration time);
@@ -86,6 +88,8 @@
   std::optional<base::TimePoint> confirmed_at() const {
     return confirmed_ ? std::optional(confirmed_at_) : std::nullopt;
   }
+  // Returns what the latest confirmation came from.
+  ConfirmSource confirmed_by() const { return confirmed_by_; }
   // Returns true if the store answers the watches of this node: it will be told
   // of a change at once.
   bool IsWatching(base::TimePoint now) const;
@@ -98,6 +102,7 @@
 
   std::optional<OpenCall> TakeCall(std::uint64_t id);
   bool IsOverdue(const OpenCall& open, base::TimePoint now) const;
+  void Confirm(base::TimePoint time, ConfirmSource source);
   void ScheduleRetry(base::TimePoint now);
 
   FollowSettings settings_;
@@ -113,6 +118,7 @@
   base::TimePoint next_at_;
   base::TimePoint confirmed_at_;
   bool confirmed_ = false;
+  ConfirmSource confirmed_by_ = ConfirmSource::kNone;
   std::uint32_t failures_ = 0;
 };
 
--- a/src/core/spread/proof_relay.cc
+++ b/src/core/spread/proof_relay.cc
@@ -221,7 +221,7 @@
   source.sequence = 0;
   last_heard_ = now;
   if (answer.confirmed_age && answer.in_force == in_force()) {
-    follower_.Confirm(source.sent_at - *answer.confirmed_age);
+    follower_.ConfirmByPeer(source.sent_at - *answer.confirmed_age);
   }
   return actions;
 }
--- a/src/core/spread/proof_relay.h
+++ b/src/core/spread/proof_relay.h
@@ -65,6 +65,10 @@
   bool IsFresh(base::TimePoint now) const { return follower_.IsFresh(now); }
   // Returns the time since the store last confirmed the configuration.
   base::Duration Age(base::TimePoint now) const { return follower_.Age(now); }
+  // Returns what the latest confirmation came from.
+  config::ConfirmSource confirmed_by() const {
+    return follower_.confirmed_by();
+  }
   // Returns true if the node is not to be relied on as a source for now.
   bool IsExcluded(const base::NodeAddress& peer) const {
     return excluded_.count(peer) != 0;
--- a/src/node/config_follow_system.cc
+++ b/src/node/config_follow_system.cc
@@ -13,6 +13,7 @@
 namespace spread = core::spread;
 using core::base::EventNumber;
 using core::base::NodeAddress;
+using core::config::ConfirmSource;
 using core::config::FollowResult;
 
 namespace {
@@ -22,6 +23,41 @@
 constexpr std::chrono::milliseconds kRunInterval(20);
 constexpr std::chrono::milliseconds kViewInterval(500);
 
+template <typename Number>
+std::string NumberText(Number number) {
+  return std::to_string(number.value());
+}
+
+const char* ConfirmSourceText(ConfirmSource source) {
+  switch (source) {
+    case ConfirmSource::kNone:
+      return "none";
+    case ConfirmSource::kRead:
+      return "read";
+    case ConfirmSource::kWatch:
+      return "watch";
+    case ConfirmSource::kPeer:
+      return "peer";
+  }
+  return "";
+}
+
+const char* FollowResultText(FollowResult result) {
+  switch (result) {
+    case FollowResult::kRead:
+      return "read";
+    case FollowResult::kChanged:
+      return "changed";
+    case FollowResult::kUnchanged:
+      return "unchanged";
+    case FollowResult::kHistoryGone:
+      return "history_gone";
+    case FollowResult::kFailed:
+      return "failed";
+  }
+  return "";
+}
+
 }  // namespace
 
 ConfigFollowSystem::ConfigFollowSystem(const HostSettings& settings,
@@ -78,11 +114,10 @@
   }
   if (!actions.store_call) return;
   ++store_calls_;
-  ports_.follow_config(
-      *actions.store_call,
-      [this, call = actions.store_call->id](const ConfigAnswer& answer) {
-        OnAnswer(call, answer, Node::Now());
-      });
+  ports_.follow_config(*actions.store_call, [this, call = *actions.store_call](
+                                                const ConfigAnswer& answer) {
+    OnAnswer(call, answer, Node::Now());
+  });
 }
 
 void ConfigFollowSystem::OnFrame(wire::LinkId from,
@@ -113,22 +148,37 @@
   emit_({EventNumber::kConfigurationStale,
          {},
          {},
-         "age_ms=" + std::to_string(age.count())});
+         "age_ms=" + std::to_string(age.count()) +
+             " confirmed_by=" + ConfirmSourceText(relay_.confirmed_by()) +
+             " era=" + NumberText(era_.era()) +
+             " in_force=" + NumberText(relay_.in_force())});
 }
 
-void ConfigFollowSystem::OnAnswer(std::uint64_t call,
+void ConfigFollowSystem::OnStoreEra(core::config::StoreEra era) {
+  const auto change = era_.OnEra(era);
+  if (!change) return;
+  ++era_changes_;
+  emit_({EventNumber::kStoreEraChanged,
+         {},
+         {},
+         "era=" + NumberText(change->after) +
+             " before=" + NumberText(change->before) +
+             " in_force=" + NumberText(relay_.in_force())});
+}
+
+void ConfigFollowSystem::OnAnswer(const core::config::FollowCall& call,
                                   const ConfigAnswer& answer, TimePoint now) {
   const bool failed = answer.result == FollowResult::kFailed;
   if (failed) ++store_failures_;
+  ReportAnswer(call, answer);
   UpdateStoreReachable(!failed, answer.detail);
+  ReportUnused(answer);
   std::optional<spread::Snapshot> snapshot;
   if (answer.config) {
     Activate(answer.config);
     snapshot = spread::Snapshot{answer.config->number(), answer.body};
-  } else {
-    ReportUnusable(answer);
   }
-  Execute(relay_.OnStoreResult(call, answer.result, answer.revision,
+  Execute(relay_.OnStoreResult(call.id, answer.result, answer.revision,
                                std::move(snapshot), now));
   Run(now);
 }
@@ -157,11 +207,37 @@
   if (newer) node_.SetConfig(config);
 }
 
-void ConfigFollowSystem::ReportUnusable(const ConfigAnswer& answer) {
-  const bool unreadable =
-      answer.result != FollowResult::kFailed && !answer.detail.empty();
-  if (!unreadable) return;
-  emit_({EventNumber::kConfigurationRefused, {}, {}, "cause=" + answer.detail});
+void ConfigFollowSystem::ReportAnswer(const core::config::FollowCall& call,
+                                      const ConfigAnswer& answer) {
+  if (answer.result == FollowResult::kFailed) return;
+  const bool same = answer.result == FollowResult::kUnchanged;
+  if (same && store_reached_) return;
+  emit_({EventNumber::kConfigurationRead,
+         {},
+         {},
+         "result=" + std::string(FollowResultText(answer.result)) +
+             (call.watch ? " after=" + NumberText(call.after) : "") +
+             " era=" + NumberText(answer.era) +
+             " revision=" + NumberText(answer.revision) + " read=" +
+             (answer.config ? NumberText(answer.config->number()) : "none") +
+             " in_force=" + NumberText(relay_.in_force())});
+}
+
+void ConfigFollowSystem::ReportUnused(const ConfigAnswer& answer) {
+  std::string cause;
+  if (answer.config) {
+    if (!(answer.config->number() < relay_.in_force())) return;
+    cause = "older number=" + NumberText(answer.config->number());
+  } else {
+    if (answer.result == FollowResult::kFailed) return;
+    if (answer.detail.empty()) return;
+    cause = answer.detail;
+  }
+  emit_({EventNumber::kConfigurationRefused,
+         {},
+         {},
+         "cause=" + cause + " era=" + NumberText(answer.era) +
+             " in_force=" + NumberText(relay_.in_force())});
 }
 
 void ConfigFollowSystem::UpdateStoreReachable(bool reached,
@@ -191,6 +267,12 @@
               store_calls_);
   WriteMetric(out, "dogwoodrail_configuration_store_failures_total", "counter",
               "Of these, those that failed.", store_failures_);
+  WriteMetric(out, "dogwoodrail_store_era", "gauge",
+              "Era of the store; rises when it comes back from an older copy.",
+              era_.era().value());
+  WriteMetric(out, "dogwoodrail_store_era_changes_total", "counter",
+              "Rises of the store's era that this process has seen.",
+              era_changes_);
 }
 
 }  // namespace dogwoodrail::node
--- a/src/node/config_follow_system.h
+++ b/src/node/config_follow_system.h
@@ -34,19 +34,26 @@
   // Returns whether the configuration is fresh enough to admit requests with a
   // key.
   bool IsFresh(TimePoint now) const { return relay_.IsFresh(now); }
+  // Handles the era that an answer of the store states.
+  void OnStoreEra(core::config::StoreEra era);
 
  private:
   // Runs the relay and carries out its actions.
   void Run(TimePoint now);
   void Execute(core::spread::RelayActions actions);
   void OnFrame(wire::LinkId from, const wire::Bytes& payload);
-  void OnAnswer(std::uint64_t call, const ConfigAnswer& answer, TimePoint now);
+  void OnAnswer(const core::config::FollowCall& call,
+                const ConfigAnswer& answer, TimePoint now);
   // Activates a configuration received from another node.
   bool ApplySnapshot(const core::spread::Snapshot& snapshot);
   // Activates a configuration unless a newer one is active.
   void Activate(const std::shared_ptr<const core::config::ConfigState>& config);
-  // Logs a configuration in the answer that cannot be used.
-  void ReportUnusable(const ConfigAnswer& answer);
+  // Logs what the store answered, except that nothing has changed while it was
+  // reached all along.
+  void ReportAnswer(const core::config::FollowCall& call,
+                    const ConfigAnswer& answer);
+  // Logs a configuration in the answer that is not used.
+  void ReportUnused(const ConfigAnswer& answer);
   // Logs when the store becomes reachable or unreachable.
   void UpdateStoreReachable(bool reached, const std::string& detail);
   void UpdateFreshness(TimePoint now);
@@ -63,6 +70,8 @@
   TimePoint next_view_update_;
   // Links on which other nodes sent their last query.
   std::unordered_map<core::base::NodeAddress, wire::LinkId> query_links_;
+  core::config::StoreEraTracker era_;
+  std::uint64_t era_changes_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t store_failures_ = 0;
   bool store_reached_ = true;
--- a/src/node/entry_admit.cc
+++ b/src/node/entry_admit.cc
@@ -190,6 +190,12 @@
   return " config=" + std::to_string(config_->number().value());
 }
 
+// Returns the number of the configuration by which a call was routed, for the
+// event log.
+std::string EntrySystem::DecidedBy(const EntryCall& call) {
+  return " decided_by=" + std::to_string(call.config_number.value());
+}
+
 void EntrySystem::RefuseImmediately(const EntryCall& call,
                                     const Refusal& refusal) {
   Emit(EventNumber::kRequestRefused, call,
--- a/src/node/entry_attempt.cc
+++ b/src/node/entry_attempt.cc
@@ -110,7 +110,8 @@
   chooser_.OnSent(call.service, attempt.to);
   Emit(EventNumber::kAttemptSent, call,
        "to=" + attempt.to.value() +
-           " attempt=" + std::to_string(call.dispatches));
+           " attempt=" + std::to_string(call.dispatches) +
+           " service=" + call.service.value() + DecidedBy(call));
   const auto sent = ports_.send(
       attempt.to, MakeCallMessage(call, attempt.id, share.count, now));
   if (!sent) {
@@ -312,7 +313,7 @@
   ports_.dialect.add_reply_headers(
       response, {call.request, Ran::kRan, AttemptsUsed(call)});
   Emit(EventNumber::kRequestAnswered, call,
-       "status=" + std::to_string(response.status));
+       "status=" + std::to_string(response.status) + DecidedBy(call));
   const http::ExchangeId exchange = call.exchange;
   if (Execution* parent = ParentOf(call)) parent->downstream.End(true, now);
   Remove(call);
@@ -336,8 +337,8 @@
   if (ports_.on_outcome) ports_.on_outcome(call, outcome, now);
   Emit(EventNumber::kRequestRefused, call,
        "reason=" + std::string(core::base::GetReasonSpec(outcome.reason).code) +
-           " ran=" + std::string(core::base::RanText(outcome.ran)) +
-           " route=" + call.route.name.value() + ConfigDetail() +
+           " ran=" + std::string(core::base::RanText(outcome.ran)) + " route=" +
+           call.route.name.value() + DecidedBy(call) + ConfigDetail() +
            call.refusal_inputs + FingerprintDetail(call, outcome));
   const http::ExchangeId exchange = call.exchange;
   if (Execution* parent = ParentOf(call)) {
--- a/src/node/entry_base.h
+++ b/src/node/entry_base.h
@@ -107,6 +107,7 @@
   void OnOutdatedRate(EntryCall& call, const GateResult& answer, TimePoint now);
   void OnRateResult(EntryCall& call, const GateResult& answer, TimePoint now);
   std::string ConfigDetail() const;
+  static std::string DecidedBy(const EntryCall& call);
   void RefuseImmediately(const EntryCall& call, const Refusal& refusal);
   void EnterStage(EntryCall& call, EntryStage stage, TimePoint now);
   void PassChainGate(EntryCall& call, TimePoint now);
--- a/src/node/host_type.h
+++ b/src/node/host_type.h
@@ -22,6 +22,7 @@
 struct ConfigAnswer {
   core::config::FollowResult result = core::config::FollowResult::kFailed;
   core::config::StoreRevision revision;
+  core::config::StoreEra era;  // in which the revision is valid
   // The configuration, if the result contains one that could be decoded.
   std::shared_ptr<const core::config::ConfigState> config;
   std::string body;    // of the configuration, for HostPorts::decode_config
@@ -78,6 +79,8 @@
   // Sets the observer of objects of the store that cannot be decoded and are
   // not used; called with their kind and name.
   std::function<void(std::function<void(const SkippedObject&)>)> set_skip_hook;
+  // Sets the observer of the era that each answer of the store states.
+  std::function<void(std::function<void(core::config::StoreEra)>)> set_era_hook;
   // Returns whether a request is a readiness probe of the node.
   std::function<bool(const http::Request&)> is_readiness_probe;
 };
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -81,6 +81,8 @@
              {},
              "kind=" + it.kind + " name=" + it.name});
     });
+    ports_.set_era_hook(
+        [this](core::config::StoreEra era) { config_->OnStoreEra(era); });
     node_->AddTickHandler([this](TimePoint now) { Tick(now); });
   }
 
