Failing tests: the fleet stays by an older version when the store comes back from a copy

The store's stand-in learns the drill: it goes away (connections end, new ones are refused), comes back from a copy, gives its revisions out again, states its era in each answer and answers 410 to a watch from a revision that it lacks.

--- a/tests/integration/platform/common/store.cc
+++ b/tests/integration/platform/common/store.cc
@@ -1,7 +1,9 @@
 #include "tests/integration/platform/common/store.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdlib>
+#include <future>
 #include <utility>
 
 #include "platform/json_fields.h"
@@ -49,7 +51,7 @@
 void PlatformStore::Put(const std::string& kind, const std::string& name,
                         const std::string& spec) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  kinds_[kind][name] = {++revision_, spec};
+  state_.kinds[kind][name] = {++state_.revision, spec};
 }
 
 void PlatformStore::SetAvailable(bool available) {
@@ -59,7 +61,48 @@
 
 std::size_t PlatformStore::Count(const std::string& kind) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return kinds_[kind].size();
+  return state_.kinds[kind].size();
+}
+
+void PlatformStore::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copy_ = state_;
+}
+
+void PlatformStore::RestoreCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  state_ = copy_;
+  ++era_;
+}
+
+void PlatformStore::GoAway() {
+  RunOnLoop([this] {
+    server_.StopListening();
+    server_.CloseSessions();
+  });
+}
+
+void PlatformStore::Return() {
+  RunOnLoop([this] { server_.Listen(); });
+}
+
+void PlatformStore::RunOnLoop(const std::function<void()>& function) {
+  std::promise<void> done;
+  boost::asio::post(loop_, [&] {
+    function();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void PlatformStore::Respond(const ExchangePtr& exchange, http_status status,
+                            std::string body) const {
+  standin::HttpResponse response;
+  response.result(status);
+  response.set("Store-Era", std::to_string(era_));
+  response.set(boost::beast::http::field::content_type, "application/json");
+  response.body() = std::move(body);
+  exchange->Respond(std::move(response));
 }
 
 void PlatformStore::Handle(const ExchangePtr& exchange) {
@@ -70,10 +113,10 @@
       mark == std::string::npos ? "" : target.substr(mark + 1);
   const std::lock_guard<std::mutex> lock(mutex_);
   if (!available_) {
-    return exchange->Respond(http_status::service_unavailable, "{}");
+    return Respond(exchange, http_status::service_unavailable, "{}");
   }
   if (path.rfind(kPrefix, 0) != 0) {
-    return exchange->Respond(http_status::not_found, "{}");
+    return Respond(exchange, http_status::not_found, "{}");
   }
   path.erase(0, std::string(kPrefix).size());
   const std::size_t slash = path.find('/');
@@ -90,17 +133,16 @@
                                const std::string& kind, const std::string& name,
                                const std::string& query) {
   if (!name.empty()) {
-    const auto it = kinds_[kind].find(name);
-    if (it == kinds_[kind].end()) {
-      return exchange->Respond(http_status::not_found, "{}");
+    const auto it = state_.kinds[kind].find(name);
+    if (it == state_.kinds[kind].end()) {
+      return Respond(exchange, http_status::not_found, "{}");
     }
-    return exchange->Respond(
-        http_status::ok,
-        ObjectText(name, it->second.revision, it->second.spec));
+    return Respond(exchange, http_status::ok,
+                   ObjectText(name, it->second.revision, it->second.spec));
   }
   if (QueryValue(query, "watch").empty()) {
-    return exchange->Respond(http_status::ok,
-                             ListText(kind, QueryValue(query, "after")));
+    return Respond(exchange, http_status::ok,
+                   ListText(kind, QueryValue(query, "after")));
   }
   const std::chrono::milliseconds wait(QueryNumber(query, "wait_ms"));
   const std::uint64_t after = QueryNumber(query, "watch");
@@ -115,12 +157,15 @@
                           std::uint64_t after, Clock::time_point end) {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (!available_) return exchange->Abort();
+  if (after > state_.revision) {
+    return Respond(exchange, http_status::gone, "{}");
+  }
   bool changed = false;
-  for (const auto& [name, it] : kinds_[kind]) {
+  for (const auto& [name, it] : state_.kinds[kind]) {
     changed = changed || it.revision > after;
   }
   if (changed || Clock::now() >= end) {
-    return exchange->Respond(http_status::ok, EventsText(kind, after));
+    return Respond(exchange, http_status::ok, EventsText(kind, after));
   }
   auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kWatchPoll);
   timer->async_wait([this, exchange, kind, after, timer, end](const auto&) {
@@ -133,18 +178,18 @@
                                 const std::string& name) {
   const auto body = platform::ParseBody(exchange->request().body());
   if (!body || !body->is_object()) {
-    return exchange->Respond(http_status::bad_request, "{}");
+    return Respond(exchange, http_status::bad_request, "{}");
   }
   const std::string spec = body->value("spec", platform::Json()).dump();
   std::string object = name;
   if (exchange->request().method() == http_verb::post) {
     object = (*body)["metadata"].value("name", "");
-    if (kinds_[kind].count(object) > 0) {
-      return exchange->Respond(http_status::conflict, "{}");
+    if (state_.kinds[kind].count(object) > 0) {
+      return Respond(exchange, http_status::conflict, "{}");
     }
   }
-  kinds_[kind][object] = {++revision_, spec};
-  exchange->Respond(http_status::ok, ObjectText(object, revision_, spec));
+  state_.kinds[kind][object] = {++state_.revision, spec};
+  Respond(exchange, http_status::ok, ObjectText(object, state_.revision, spec));
 }
 
 std::string PlatformStore::ListText(const std::string& kind,
@@ -152,7 +197,7 @@
   std::string items;
   std::size_t count = 0;
   bool has_more = false;
-  for (const auto& [name, it] : kinds_[kind]) {
+  for (const auto& [name, it] : state_.kinds[kind]) {
     if (name <= after) continue;
     has_more = count > 0 && (count >= kPageItems || items.size() >= kPageBytes);
     if (has_more) break;
@@ -161,20 +206,20 @@
   }
   return R"({"items":[)" + items + R"(],"has_more":)" +
          (has_more ? "true" : "false") + R"(,"at":)" +
-         std::to_string(revision_) + "}";
+         std::to_string(state_.revision) + "}";
 }
 
 std::string PlatformStore::EventsText(const std::string& kind,
                                       std::uint64_t after) {
   std::string events;
-  for (const auto& [name, it] : kinds_[kind]) {
+  for (const auto& [name, it] : state_.kinds[kind]) {
     if (it.revision <= after) continue;
     if (!events.empty()) events += ',';
     events += R"({"object":)" + ObjectText(name, it.revision, it.spec) +
               R"(,"deleted":false})";
   }
-  return R"({"events":[)" + events + R"(],"at":)" + std::to_string(revision_) +
-         "}";
+  return R"({"events":[)" + events + R"(],"at":)" +
+         std::to_string(state_.revision) + "}";
 }
 
 }  // namespace dogwoodrail::integration
--- a/tests/integration/platform/common/store.h
+++ b/tests/integration/platform/common/store.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -13,8 +14,10 @@
 namespace dogwoodrail::integration {
 
 // Stand-in of the platform's store: objects by kind and name, with lists in
-// pages, watches and conditional creation. Runs on the thread of the loop;
-// Put() and SetAvailable() may be called from any thread.
+// pages, watches and conditional creation. It can come back from an older copy:
+// revisions go back and are given out again, and the era, which each answer
+// states, rises by one. Runs on the thread of the loop; the public functions
+// may be called from any other thread.
 class PlatformStore {
  public:
   PlatformStore(boost::asio::io_context& loop, std::uint16_t port);
@@ -27,6 +30,15 @@
            const std::string& spec);
   // While not available, every call is answered 503.
   void SetAvailable(bool available);
+  // Keeps a copy of the present state.
+  void TakeCopy();
+  // Ends the process of the store: connections end and are refused.
+  void GoAway();
+  // Replaces the state by the copy and begins the next era. To be called while
+  // the store is away; what is put before Return() is there when it serves.
+  void RestoreCopy();
+  // Serves again after GoAway().
+  void Return();
   // Number of objects of a kind.
   std::size_t Count(const std::string& kind);
 
@@ -36,7 +48,16 @@
     std::string spec;
   };
   using Objects = std::map<std::string, Object>;
+  struct State {
+    std::map<std::string, Objects> kinds;
+    std::uint64_t revision = 1;
+  };
 
+  // Answers with the era.
+  void Respond(const standin::ExchangePtr& exchange,
+               boost::beast::http::status status, std::string body) const;
+  // Runs a function on the thread of the loop and waits for it.
+  void RunOnLoop(const std::function<void()>& function);
   void Handle(const standin::ExchangePtr& exchange);
   void HandleRead(const standin::ExchangePtr& exchange, const std::string& kind,
                   const std::string& name, const std::string& query);
@@ -51,8 +72,9 @@
   boost::asio::io_context& loop_;
   standin::HttpServer server_;
   std::mutex mutex_;
-  std::map<std::string, Objects> kinds_;
-  std::uint64_t revision_ = 1;
+  State state_;
+  State copy_;
+  std::uint64_t era_ = 1;
   bool available_ = true;
 };
 
