Use a revision of the store only in the era in which it was received

Callers saw: after the store had come back from an older copy, the whole fleet ran requests by an older configuration (a moved route's old service, a key that had been withdrawn), until the next change that happened to get a higher revision. No node was stale.

Cause: a revision counts the changes of one history of the store. After the return, the store gives the same numbers out again. The follower went on watching from the number it had before; the store had reached that number by other changes, so it answered that nothing had changed, and this was taken for a confirmation. All readers do the same, and the relay spreads it.

Change: a position in the store is its era and its revision. An answer in another era than that of the position asked from confirms nothing, and the configuration is read anew; so does an era that any other call or another node has heard of (answers between nodes carry it), also while a watch is open. After a failure the first watch is short, because only an answer tells the era. An answer of the store confirms nothing while another node has announced a higher number than this one has: the store may have lost it. A configuration is never replaced by an older one; while the store holds an older one, and knows no newer, it confirms the one in force, so that valid keys work on until the operator has written again.

Tried and dropped: to count versions alone is not enough, the missed change is not read; to take 410 for the sign of a return is what the code did, and it comes only while the number has not been reached again.

--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -29,14 +29,19 @@
   if (open_calls_.size() >= kMaxOpenCalls) return std::nullopt;
   const bool replaces =
       !open_calls_.empty() && open_calls_.back().call.id > answered_id_;
-  if (replaces && !IsOverdue(open_calls_.back(), now)) return std::nullopt;
+  const bool awaited = replaces && !IsOverdue(open_calls_.back(), now) &&
+                       !IsOfOtherEra(open_calls_.back().call);
+  if (awaited) return std::nullopt;
   use_ = use;
   FollowCall call;
   call.id = ++last_id_;
-  if (revision_ && now - revision_at_ < kMaxRevisionAge) {
-    const bool is_short = replaces || use == StoreUse::kConfirm;
+  if (position_ && now - position_at_ < kMaxRevisionAge) {
+    // The store may have come back from an older copy after a failure, which
+    // only an answer tells.
+    const bool is_short =
+        replaces || use == StoreUse::kConfirm || failures_ > 0;
     call.watch = true;
-    call.after = *revision_;
+    call.after = *position_;
     call.wait = is_short ? kShortWait : settings_.watch_wait;
   }
   open_calls_.push_back({call, now});
@@ -48,6 +53,10 @@
   return now - open.sent_at > open.call.wait + response_time_;
 }
 
+bool ConfigFollower::IsOfOtherEra(const FollowCall& call) const {
+  return call.watch && call.after.era != era_;
+}
+
 bool ConfigFollower::IsWatching(base::TimePoint now) const {
   const base::Duration longest = settings_.watch_wait + response_time_;
   return answered_id_ != 0 && failures_ == 0 && now - answered_at_ <= longest;
@@ -66,9 +75,11 @@
 // A response confirms the configuration as of the time when the store created
 // it: not before the call was sent, and for a watch that timed out, not before
 // its wait was over. A call that a later one has overtaken says nothing of the
-// store's present state.
+// store's present state. Nor does a watch from a position of another era: in
+// the present one, changes may lie before that revision.
 void ConfigFollower::OnResult(std::uint64_t id, FollowResult result,
-                              StoreRevision revision, base::TimePoint now) {
+                              StorePosition position, base::TimePoint now,
+                              bool confirms) {
   const auto open = TakeCall(id);
   if (!open || id < answered_id_) return;
   if (result == FollowResult::kFailed) return ScheduleRetry(now);
@@ -76,8 +87,9 @@
   answered_at_ = now;
   failures_ = 0;
   next_at_ = now;
-  if (result == FollowResult::kHistoryGone) {
-    revision_.reset();
+  era_ = position.era;
+  if (result == FollowResult::kHistoryGone || IsOfOtherEra(open->call)) {
+    position_.reset();
     return;
   }
   const base::Duration wait = open->call.wait;
@@ -88,10 +100,19 @@
     response_time_ = std::clamp(2 * response_time, settings_.min_response_time,
                                 settings_.max_response_time);
   }
-  Confirm(timed_out ? open->sent_at + wait : open->sent_at,
-          open->call.watch ? ConfirmSource::kWatch : ConfirmSource::kRead);
-  revision_ = revision;
-  revision_at_ = now;
+  if (confirms) {
+    Confirm(timed_out ? open->sent_at + wait : open->sent_at,
+            open->call.watch ? ConfirmSource::kWatch : ConfirmSource::kRead);
+  }
+  position_ = position;
+  position_at_ = now;
+}
+
+void ConfigFollower::OnEra(StoreEra era, base::TimePoint now) {
+  era_ = era;
+  if (!position_ || position_->era == era) return;
+  position_.reset();
+  next_at_ = std::min(next_at_, now);
 }
 
 void ConfigFollower::Confirm(base::TimePoint time, ConfirmSource source) {
--- a/src/core/config/config_follower.h
+++ b/src/core/config/config_follower.h
@@ -41,7 +41,7 @@
 struct FollowCall {
   std::uint64_t id = 0;    // passed back with the result
   bool watch = false;      // false: read the current state
-  StoreRevision after;     // for a watch: report changes after this revision
+  StorePosition after;     // for a watch: report changes after this position
   base::Duration wait{0};  // for a watch
 };
 
@@ -53,14 +53,15 @@
   kRead,         // read the configuration, or that there is none
   kChanged,      // a watch reported changes
   kUnchanged,    // a watch timed out without changes
-  kHistoryGone,  // the store no longer has the revision of a watch
+  kHistoryGone,  // the store does not have the revision of a watch
   kFailed,       // no usable response
 };
 
 // Decides when to read or watch the configuration in the store, and how long a
 // confirmed configuration is valid for admitting requests with a key. Because
 // of this lease, a withdrawn key also stops working on nodes that cannot reach
-// the store.
+// the store. A revision is used only in the era of the store in which it was
+// received; after a change of the era the configuration is read anew.
 class ConfigFollower {
  public:
   ConfigFollower(const FollowSettings& settings, std::uint64_t seed);
@@ -68,9 +69,13 @@
   // Returns the call that is due now, if any. A second call is made while the
   // response to the first is overdue.
   std::optional<FollowCall> Next(StoreUse use, base::TimePoint now);
-  // Handles the result of a call, with the revision of the store.
-  void OnResult(std::uint64_t id, FollowResult result, StoreRevision revision,
-                base::TimePoint now);
+  // Handles the result of a call, with the position of the store. With
+  // `confirms` false it does not confirm the configuration in force, because a
+  // newer one is known to exist.
+  void OnResult(std::uint64_t id, FollowResult result, StorePosition position,
+                base::TimePoint now, bool confirms = true);
+  // Handles an era of the store that another call or node has learned of.
+  void OnEra(StoreEra era, base::TimePoint now);
   // Handles a confirmation by another node: the store confirmed the
   // configuration at `time` or later.
   void ConfirmByPeer(base::TimePoint time) {
@@ -102,13 +107,16 @@
 
   std::optional<OpenCall> TakeCall(std::uint64_t id);
   bool IsOverdue(const OpenCall& open, base::TimePoint now) const;
+  // Returns true if a call watches from a position of another era.
+  bool IsOfOtherEra(const FollowCall& call) const;
   void Confirm(base::TimePoint time, ConfirmSource source);
   void ScheduleRetry(base::TimePoint now);
 
   FollowSettings settings_;
   base::Random random_;
-  std::optional<StoreRevision> revision_;
-  base::TimePoint revision_at_;       // when revision_ was received
+  StoreEra era_;  // latest known
+  std::optional<StorePosition> position_;
+  base::TimePoint position_at_;       // when position_ was received
   std::vector<OpenCall> open_calls_;  // in the order in which they were sent
   std::uint64_t last_id_ = 0;
   std::uint64_t answered_id_ = 0;  // latest call with a response
--- a/src/core/config/store_era.h
+++ b/src/core/config/store_era.h
@@ -16,6 +16,12 @@
 // the store states none.
 using StoreEra = base::StrongNumber<struct StoreEraTag>;
 
+// Point in the history of the store.
+struct StorePosition {
+  StoreEra era;
+  StoreRevision revision;
+};
+
 // Change of the store's era.
 struct StoreEraChange {
   StoreEra before;
--- a/src/core/spread/proof_relay.cc
+++ b/src/core/spread/proof_relay.cc
@@ -127,6 +127,7 @@
   answer.sequence = sequence;
   answer.in_force = in_force();
   answer.watched = watched_;
+  answer.store_era = era_.era();
   const auto confirmed_at = follower_.confirmed_at();
   if (confirmed_at && now >= *confirmed_at) {
     answer.confirmed_age = now - *confirmed_at;
@@ -159,26 +160,33 @@
   const bool silent = now - last_heard_ > settings_.max_silence + jitter_;
   const bool old =
       !confirmed_at || now - *confirmed_at > settings_.max_age + jitter_;
-  const bool lags = in_force() < highest_seen_ &&
-                    now - highest_seen_at_ > settings_.max_lag + jitter_;
+  const bool lags =
+      IsBehind() && now - highest_seen_at_ > settings_.max_lag + jitter_;
   return silent || old || lags;
 }
 
 RelayActions ProofRelay::OnStoreResult(std::uint64_t call, FollowResult result,
-                                       config::StoreRevision revision,
+                                       config::StorePosition position,
                                        std::optional<Snapshot> snapshot,
                                        base::TimePoint now) {
+  RelayActions actions = OnStoreEra(position.era, now);
   if (snapshot) SetInForce(*snapshot);
-  follower_.OnResult(call, result, revision, now);
+  follower_.OnResult(call, result, position, now, !IsBehind());
   if (result != FollowResult::kFailed) {
     last_heard_ = now;
     jitter_ = DrawJitter();
   }
-  RelayActions actions;
   SendChanges(now, &actions);
   return actions;
 }
 
+RelayActions ProofRelay::OnStoreEra(config::StoreEra era, base::TimePoint now) {
+  RelayActions actions;
+  actions.era_change = era_.OnEra(era);
+  follower_.OnEra(era_.era(), now);
+  return actions;
+}
+
 RelayActions ProofRelay::OnQuery(const base::NodeAddress& peer,
                                  const PeerQuery& query, base::TimePoint now) {
   Subscriber& subscriber = subscribers_[peer];
@@ -190,6 +198,11 @@
   AddSnapshot(&subscriber, &answer);
   RelayActions actions;
   actions.answers.push_back({peer, std::move(answer)});
+  OnPeerNumber(query.after, now);
+  const bool started = in_force() != base::TicketNumber();
+  if (started && in_force() < query.after) {
+    actions.queries.push_back({peer, {0, in_force(), false}});
+  }
   return actions;
 }
 
@@ -200,17 +213,8 @@
 RelayActions ProofRelay::OnAnswer(const base::NodeAddress& peer,
                                   const PeerAnswer& answer,
                                   base::TimePoint now) {
-  RelayActions actions;
-  const bool started = in_force() != base::TicketNumber();
-  if (answer.has_snapshot && started && in_force() < answer.snapshot.number &&
-      apply_(answer.snapshot)) {
-    SetInForce(answer.snapshot);
-    SendChanges(now, &actions);
-  }
-  if (highest_seen_ < answer.in_force) {
-    highest_seen_ = answer.in_force;
-    highest_seen_at_ = now;
-  }
+  RelayActions actions = OnStoreEra(answer.store_era, now);
+  LearnFrom(answer, now, &actions);
   const auto it = sources_.find(peer);
   if (it == sources_.end()) return actions;
   Source& source = it->second;
@@ -226,6 +230,23 @@
   return actions;
 }
 
+void ProofRelay::LearnFrom(const PeerAnswer& answer, base::TimePoint now,
+                           RelayActions* actions) {
+  const bool started = in_force() != base::TicketNumber();
+  if (answer.has_snapshot && started && in_force() < answer.snapshot.number &&
+      apply_(answer.snapshot)) {
+    SetInForce(answer.snapshot);
+    SendChanges(now, actions);
+  }
+  OnPeerNumber(answer.in_force, now);
+}
+
+void ProofRelay::OnPeerNumber(base::TicketNumber number, base::TimePoint now) {
+  if (!(highest_seen_ < number)) return;
+  highest_seen_ = number;
+  highest_seen_at_ = now;
+}
+
 void ProofRelay::SetInForce(const Snapshot& snapshot) {
   if (!(in_force() < snapshot.number)) return;
   snapshot_ = snapshot;
--- a/src/core/spread/proof_relay.h
+++ b/src/core/spread/proof_relay.h
@@ -19,6 +19,7 @@
   std::optional<config::FollowCall> store_call;
   std::vector<SendQuery> queries;
   std::vector<SendAnswer> answers;
+  std::optional<config::StoreEraChange> era_change;
 };
 
 // Keeps the configuration of a node current and proves that it is, without a
@@ -45,12 +46,14 @@
   // Runs the timers. Called about every 100 ms or more often.
   RelayActions Tick(const RelayView& view, base::TimePoint now);
 
-  // Handles the result of a store call, with the revision of the store and
-  // the configuration if the result has one that is in force now.
+  // Handles the result of a store call, with the position of the store and the
+  // configuration if the result has one, which may be older than that in force.
   RelayActions OnStoreResult(std::uint64_t call, config::FollowResult result,
-                             config::StoreRevision revision,
+                             config::StorePosition position,
                              std::optional<Snapshot> snapshot,
                              base::TimePoint now);
+  // Handles the era that an answer of the store states, to any call.
+  RelayActions OnStoreEra(config::StoreEra era, base::TimePoint now);
   // Answers a query of another node.
   RelayActions OnQuery(const base::NodeAddress& peer, const PeerQuery& query,
                        base::TimePoint now);
@@ -63,6 +66,8 @@
 
   // Returns true if requests with a key may be admitted.
   bool IsFresh(base::TimePoint now) const { return follower_.IsFresh(now); }
+  // Returns the latest era of the store that is known.
+  config::StoreEra era() const { return era_.era(); }
   // Returns the time since the store last confirmed the configuration.
   base::Duration Age(base::TimePoint now) const { return follower_.Age(now); }
   // Returns what the latest confirmation came from.
@@ -96,6 +101,11 @@
   void ExcludeSilentSources(base::TimePoint now);
   void SendQueries(base::TimePoint now, RelayActions* actions);
   void SendChanges(base::TimePoint now, RelayActions* actions);
+  // Takes a configuration and a number from another node.
+  void LearnFrom(const PeerAnswer& answer, base::TimePoint now,
+                 RelayActions* actions);
+  // Notes the number of a configuration that another node has.
+  void OnPeerNumber(base::TicketNumber number, base::TimePoint now);
   void UpdateWatched(const RelayView& view, base::TimePoint now);
   void SetInForce(const Snapshot& snapshot);
   PeerAnswer MakeAnswer(std::uint64_t sequence, base::TimePoint now) const;
@@ -104,6 +114,8 @@
   void AddSnapshot(Subscriber* subscriber, PeerAnswer* answer);
   config::StoreUse ChooseStoreUse(const RelayView& view,
                                   base::TimePoint now) const;
+  // Returns true if another node has a configuration that this one lacks.
+  bool IsBehind() const { return in_force() < highest_seen_; }
   // Returns true if the store has to be asked once.
   bool NeedsConfirmation(base::TimePoint now) const;
   base::Duration DrawJitter();
@@ -112,6 +124,7 @@
   const ApplyHook apply_;
   base::Random random_;
   config::ConfigFollower follower_;
+  config::StoreEraTracker era_;
   base::Duration validity_;  // of a confirmation
   Snapshot snapshot_;
 
--- a/src/core/spread/spread_type.h
+++ b/src/core/spread/spread_type.h
@@ -11,6 +11,7 @@
 
 #include "core/base/id_type.h"
 #include "core/base/time_type.h"
+#include "core/config/store_era.h"
 
 namespace dogwoodrail::core::spread {
 
@@ -45,6 +46,9 @@
   // A watch of the platform, by the peer or a node that it queries, is working,
   // so that the peer will learn of a change at once. Set by ProofRelay only.
   bool watched = false;
+  // Latest era of the platform's store that the peer knows. Set by ProofRelay
+  // only.
+  config::StoreEra store_era;
   std::vector<Ticket> tickets;
   bool has_snapshot = false;
   Snapshot snapshot;
--- a/src/node/config_follow_system.cc
+++ b/src/node/config_follow_system.cc
@@ -112,6 +112,7 @@
         node_.links().Reply(link->second, wire::EncodeSpread(it.answer));
     if (!sent) query_links_.erase(link);
   }
+  if (actions.era_change) OnEraChange(*actions.era_change);
   if (!actions.store_call) return;
   ++store_calls_;
   ports_.follow_config(*actions.store_call, [this, call = *actions.store_call](
@@ -150,20 +151,24 @@
          {},
          "age_ms=" + std::to_string(age.count()) +
              " confirmed_by=" + ConfirmSourceText(relay_.confirmed_by()) +
-             " era=" + NumberText(era_.era()) +
+             " era=" + NumberText(relay_.era()) +
              " in_force=" + NumberText(relay_.in_force())});
 }
 
 void ConfigFollowSystem::OnStoreEra(core::config::StoreEra era) {
-  const auto change = era_.OnEra(era);
-  if (!change) return;
+  Execute(relay_.OnStoreEra(era, Node::Now()));
+}
+
+void ConfigFollowSystem::OnEraChange(
+    const core::config::StoreEraChange& change) {
   ++era_changes_;
   emit_({EventNumber::kStoreEraChanged,
          {},
          {},
-         "era=" + NumberText(change->after) +
-             " before=" + NumberText(change->before) +
+         "era=" + NumberText(change.after) +
+             " before=" + NumberText(change.before) +
              " in_force=" + NumberText(relay_.in_force())});
+  if (on_era_change_) on_era_change_(Node::Now());
 }
 
 void ConfigFollowSystem::OnAnswer(const core::config::FollowCall& call,
@@ -178,7 +183,7 @@
     Activate(answer.config);
     snapshot = spread::Snapshot{answer.config->number(), answer.body};
   }
-  Execute(relay_.OnStoreResult(call.id, answer.result, answer.revision,
+  Execute(relay_.OnStoreResult(call.id, answer.result, answer.position,
                                std::move(snapshot), now));
   Run(now);
 }
@@ -216,9 +221,11 @@
          {},
          {},
          "result=" + std::string(FollowResultText(answer.result)) +
-             (call.watch ? " after=" + NumberText(call.after) : "") +
-             " era=" + NumberText(answer.era) +
-             " revision=" + NumberText(answer.revision) + " read=" +
+             (call.watch ? " after=" + NumberText(call.after.revision) +
+                               " after_era=" + NumberText(call.after.era)
+                         : "") +
+             " era=" + NumberText(answer.position.era) +
+             " revision=" + NumberText(answer.position.revision) + " read=" +
              (answer.config ? NumberText(answer.config->number()) : "none") +
              " in_force=" + NumberText(relay_.in_force())});
 }
@@ -236,7 +243,7 @@
   emit_({EventNumber::kConfigurationRefused,
          {},
          {},
-         "cause=" + cause + " era=" + NumberText(answer.era) +
+         "cause=" + cause + " era=" + NumberText(answer.position.era) +
              " in_force=" + NumberText(relay_.in_force())});
 }
 
@@ -269,7 +276,7 @@
               "Of these, those that failed.", store_failures_);
   WriteMetric(out, "dogwoodrail_store_era", "gauge",
               "Era of the store; rises when it comes back from an older copy.",
-              era_.era().value());
+              relay_.era().value());
   WriteMetric(out, "dogwoodrail_store_era_changes_total", "counter",
               "Rises of the store's era that this process has seen.",
               era_changes_);
--- a/src/node/config_follow_system.h
+++ b/src/node/config_follow_system.h
@@ -2,10 +2,12 @@
 #define DOGWOODRAIL_NODE_CONFIG_FOLLOW_SYSTEM_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <ostream>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "core/base/event_type.h"
 #include "core/spread/proof_relay.h"
@@ -36,11 +38,17 @@
   bool IsFresh(TimePoint now) const { return relay_.IsFresh(now); }
   // Handles the era that an answer of the store states.
   void OnStoreEra(core::config::StoreEra era);
+  // Sets the hook that is called when the store has come back from an older
+  // copy.
+  void SetEraHook(std::function<void(TimePoint)> hook) {
+    on_era_change_ = std::move(hook);
+  }
 
  private:
   // Runs the relay and carries out its actions.
   void Run(TimePoint now);
   void Execute(core::spread::RelayActions actions);
+  void OnEraChange(const core::config::StoreEraChange& change);
   void OnFrame(wire::LinkId from, const wire::Bytes& payload);
   void OnAnswer(const core::config::FollowCall& call,
                 const ConfigAnswer& answer, TimePoint now);
@@ -70,7 +78,7 @@
   TimePoint next_view_update_;
   // Links on which other nodes sent their last query.
   std::unordered_map<core::base::NodeAddress, wire::LinkId> query_links_;
-  core::config::StoreEraTracker era_;
+  std::function<void(TimePoint)> on_era_change_;
   std::uint64_t era_changes_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t store_failures_ = 0;
--- a/src/node/host_type.h
+++ b/src/node/host_type.h
@@ -21,8 +21,7 @@
 // Result of a read or watch of the configuration.
 struct ConfigAnswer {
   core::config::FollowResult result = core::config::FollowResult::kFailed;
-  core::config::StoreRevision revision;
-  core::config::StoreEra era;  // in which the revision is valid
+  core::config::StorePosition position;
   // The configuration, if the result contains one that could be decoded.
   std::shared_ptr<const core::config::ConfigState> config;
   std::string body;    // of the configuration, for HostPorts::decode_config
--- a/src/wire/spread_codec.cc
+++ b/src/wire/spread_codec.cc
@@ -50,7 +50,8 @@
       answer.confirmed_age ? answer.confirmed_age->count() : kNoAge;
   fbb.Finish(fbs::CreateSpreadFrame(
       fbb, answer.sequence, true, answer.in_force.value(), false, answer.fresh,
-      ticket_vector, snapshot, age_us, answer.watched));
+      ticket_vector, snapshot, age_us, answer.watched,
+      answer.store_era.value()));
   return EncodeFrame(FrameKind::kSpread, fbb);
 }
 
@@ -70,6 +71,7 @@
   answer.in_force = number;
   answer.fresh = frame->fresh();
   answer.watched = frame->watched();
+  answer.store_era = core::config::StoreEra(frame->store_era());
   if (frame->confirmed_age_us() >= 0) {
     answer.confirmed_age = core::base::Duration(frame->confirmed_age_us());
   }
--- a/tests/unit/config/follower_test.cc
+++ b/tests/unit/config/follower_test.cc
@@ -17,7 +17,7 @@
   ConfigFollower follower(FollowSettings(), 1);
   const auto call = follower.Next(StoreUse::kWatch, At(seconds(1)));
   BOOST_REQUIRE(call.has_value());
-  follower.OnResult(call->id, FollowResult::kRead, StoreRevision(7),
+  follower.OnResult(call->id, FollowResult::kRead, {{}, StoreRevision(7)},
                     At(seconds(1) + milliseconds(5)));
   return follower;
 }
@@ -31,7 +31,7 @@
   const auto call = follower.Next(StoreUse::kWatch, At(seconds(2)));
   BOOST_REQUIRE(call.has_value());
   BOOST_TEST(call->watch);
-  BOOST_TEST(call->after.value() == 7U);
+  BOOST_TEST(call->after.revision.value() == 7U);
   BOOST_TEST(!follower.Next(StoreUse::kWatch, At(seconds(2))).has_value());
 }
 
@@ -77,15 +77,15 @@
 BOOST_AUTO_TEST_CASE(timed_out_watch_confirms_until_the_end_of_its_wait) {
   ConfigFollower waited = MakeStarted();
   const auto long_watch = waited.Next(StoreUse::kWatch, At(seconds(2)));
-  waited.OnResult(long_watch->id, FollowResult::kUnchanged, StoreRevision(9),
-                  At(seconds(2) + milliseconds(1350)));
+  waited.OnResult(long_watch->id, FollowResult::kUnchanged,
+                  {{}, StoreRevision(9)}, At(seconds(2) + milliseconds(1350)));
   BOOST_TEST(waited.IsFresh(At(seconds(7) + milliseconds(200))));
   BOOST_TEST(!waited.IsFresh(At(seconds(7) + milliseconds(250))));
 
   ConfigFollower early = MakeStarted();
   const auto short_watch = early.Next(StoreUse::kWatch, At(seconds(2)));
-  early.OnResult(short_watch->id, FollowResult::kUnchanged, StoreRevision(9),
-                 At(seconds(2) + milliseconds(10)));
+  early.OnResult(short_watch->id, FollowResult::kUnchanged,
+                 {{}, StoreRevision(9)}, At(seconds(2) + milliseconds(10)));
   BOOST_TEST(!early.IsFresh(At(seconds(6))));
 }
 
@@ -105,12 +105,12 @@
   BOOST_TEST((second->wait < milliseconds(10)));
   const base::TimePoint answered = late + milliseconds(5);
   BOOST_TEST(!follower.Next(StoreUse::kWatch, answered).has_value());
-  follower.OnResult(second->id, FollowResult::kUnchanged, StoreRevision(9),
-                    answered);
+  follower.OnResult(second->id, FollowResult::kUnchanged,
+                    {{}, StoreRevision(9)}, answered);
   BOOST_TEST(follower.IsWatching(answered));
   const auto third = follower.Next(StoreUse::kWatch, answered);
   BOOST_REQUIRE(third.has_value());
-  BOOST_TEST(third->after.value() == 9U);
+  BOOST_TEST(third->after.revision.value() == 9U);
   const base::TimePoint timed_out = sent + milliseconds(2250);
   follower.OnResult(lost->id, FollowResult::kFailed, {}, timed_out);
   BOOST_TEST(follower.IsWatching(timed_out));
@@ -123,7 +123,7 @@
   const base::TimePoint sent = At(seconds(1) + milliseconds(10));
   const auto slow = follower.Next(StoreUse::kWatch, sent);
   const base::TimePoint answered = sent + milliseconds(1650);
-  follower.OnResult(slow->id, FollowResult::kUnchanged, StoreRevision(9),
+  follower.OnResult(slow->id, FollowResult::kUnchanged, {{}, StoreRevision(9)},
                     answered);
   BOOST_REQUIRE(follower.Next(StoreUse::kWatch, answered).has_value());
   BOOST_TEST(follower.IsWatching(answered + milliseconds(2000)));
@@ -139,7 +139,7 @@
   const base::TimePoint later = sent + milliseconds(200);
   const auto retry = follower.Next(StoreUse::kWatch, later);
   BOOST_REQUIRE(retry.has_value());
-  follower.OnResult(retry->id, FollowResult::kUnchanged, StoreRevision(9),
+  follower.OnResult(retry->id, FollowResult::kUnchanged, {{}, StoreRevision(9)},
                     later);
   BOOST_TEST(follower.IsWatching(later));
 }
--- a/tests/unit/spread/proof_relay_test.cc
+++ b/tests/unit/spread/proof_relay_test.cc
@@ -286,8 +286,9 @@
   const base::TimePoint start{100s};
   const base::TicketNumber number(3);
   relay.Tick({false, {source}}, start);
-  relay.OnStoreResult(1, config::FollowResult::kRead, config::StoreRevision(1),
-                      Snapshot{number, "body"}, start);
+  relay.OnStoreResult(1, config::FollowResult::kRead,
+                      {{}, config::StoreRevision(1)}, Snapshot{number, "body"},
+                      start);
   const auto actions = relay.Tick({false, {source}}, start + 10ms);
   BOOST_REQUIRE(actions.queries.size() == 1U);
   PeerAnswer answer;
@@ -312,7 +313,8 @@
   const base::NodeAddress source("a");
   const base::TimePoint start{100s};
   relay.Tick({false, {source}}, start);
-  relay.OnStoreResult(1, config::FollowResult::kRead, config::StoreRevision(1),
+  relay.OnStoreResult(1, config::FollowResult::kRead,
+                      {{}, config::StoreRevision(1)},
                       Snapshot{base::TicketNumber(3), "body"}, start);
   relay.Tick({false, {source}}, start + 10ms);
   PeerAnswer answer;
--- a/tests/unit/spread/relay_simulation.h
+++ b/tests/unit/spread/relay_simulation.h
@@ -307,7 +307,7 @@
     if (open->is_lost && taken < call.wait + kStoreTimeout) return false;
     const bool failed =
         open->is_lost || store_down || (store_cut && store_cut(n));
-    const bool changed = call.watch && call.after.value() < revision_;
+    const bool changed = call.watch && call.after.revision.value() < revision_;
     const bool over = taken >= call.wait;
     if (!failed && call.watch && !changed && !over) return false;
     config::FollowResult result = config::FollowResult::kRead;
@@ -320,9 +320,9 @@
         !failed && head_ != 0 && result != config::FollowResult::kUnchanged;
     std::optional<Snapshot> snapshot;
     if (has_config) snapshot = Snapshot{base::TicketNumber(head_), "body"};
-    Execute(n, nodes_[n].relay->OnStoreResult(call.id, result,
-                                              config::StoreRevision(revision_),
-                                              snapshot, now_));
+    Execute(n, nodes_[n].relay->OnStoreResult(
+                   call.id, result, {era_, config::StoreRevision(revision_)},
+                   snapshot, now_));
     return true;
   }
 
@@ -335,6 +335,7 @@
   std::uint64_t starts_ = 0;
   std::uint64_t head_ = 0;
   std::uint64_t revision_ = 1;
+  config::StoreEra era_{1};
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(100));
   base::TimePoint published_at_;
   std::vector<Message> messages_in_flight_;
