A node that starts compares its configuration with others before it admits keys

Callers saw: a node that was started while the store held an older copy took keys that the other nodes knew to be withdrawn, some 0.5 s long, and routed by the older version.

Cause: a process took its first configuration from the store alone and served by it at once; the others were asked on the side.

Change: after its first configuration a node asks its sources and four random members of its zone and of others, each 0.1 s, until a node that has run for a while (settled) has answered and none is known to have a newer one. It learns of a newer one from queries too, which carry the asker's number. Until then it admits no request with a key (503, not run) and is not ready; all else is served. It ends 0.5 s after other nodes are known, so that a fleet that starts whole is not held up, and 3 s after the first configuration if none are. 609 configuration_compared says how long it took and what ended it.

What a fleet that starts whole on an older store may serve: what the store states; nobody can know better. It follows what the operator writes again.

Tried: 1 s after others are known; a restarted fleet was then fresh after more than the 1 s that unit_spread:proof_relay/restarted_fleet_is_fresh_within_seconds allows.

--- a/src/core/base/event_type.h
+++ b/src/core/base/event_type.h
@@ -52,6 +52,7 @@
   kObjectSkipped = 606,
   kStoreEraChanged = 607,
   kConfigurationRead = 608,
+  kConfigurationCompared = 609,
   // 7xx poison requests
   kPoisonSuspected = 701,
   kPoisonStopped = 702,
--- a/src/core/spread/proof_relay.cc
+++ b/src/core/spread/proof_relay.cc
@@ -41,6 +41,7 @@
   UpdateSources(view);
   UpdateWatched(view, now);
   SendQueries(now, &actions);
+  SendStartQueries(view, now, &actions);
   SendChanges(now, &actions);
   store_use_ = ChooseStoreUse(view, now);
   actions.store_call = follower_.Next(store_use_, now);
@@ -99,6 +100,27 @@
   }
 }
 
+// The queries have no sequence, so that their answers confirm nothing.
+void ProofRelay::SendStartQueries(const RelayView& view, base::TimePoint now,
+                                  RelayActions* actions) {
+  if (settled_ || in_force() == base::TicketNumber()) return;
+  if (view.others_known && !others_known_at_) others_known_at_ = now;
+  settled_ = IsStartOver(now);
+  if (settled_ || now < next_start_query_) return;
+  next_start_query_ = now + settings_.start_query_interval;
+  for (const base::NodeAddress& it : view.witnesses) {
+    actions->queries.push_back({it, {0, in_force(), false}});
+  }
+}
+
+bool ProofRelay::IsStartOver(base::TimePoint now) const {
+  if (now - started_at_ >= settings_.longest_start) return true;
+  const bool asked =
+      others_known_at_ &&
+      now - std::max(*others_known_at_, started_at_) >= settings_.start_timeout;
+  return asked && !IsBehind();
+}
+
 void ProofRelay::SendChanges(base::TimePoint now, RelayActions* actions) {
   for (auto it = subscribers_.begin(); it != subscribers_.end();) {
     Subscriber& subscriber = it->second;
@@ -128,6 +150,7 @@
   answer.in_force = in_force();
   answer.watched = watched_;
   answer.store_era = era_.era();
+  answer.settled = settled_;
   const auto confirmed_at = follower_.confirmed_at();
   if (confirmed_at && now >= *confirmed_at) {
     answer.confirmed_age = now - *confirmed_at;
@@ -170,6 +193,7 @@
                                        std::optional<Snapshot> snapshot,
                                        base::TimePoint now) {
   RelayActions actions = OnStoreEra(position.era, now);
+  if (snapshot && in_force() == base::TicketNumber()) started_at_ = now;
   if (snapshot) SetInForce(*snapshot);
   follower_.OnResult(call, result, position, now, !IsBehind());
   if (result != FollowResult::kFailed) {
@@ -215,6 +239,10 @@
                                   base::TimePoint now) {
   RelayActions actions = OnStoreEra(answer.store_era, now);
   LearnFrom(answer, now, &actions);
+  const bool started = in_force() != base::TicketNumber();
+  const bool compared = started && answer.settled && !IsBehind();
+  compared_ = compared_ || (compared && !settled_);
+  settled_ = settled_ || compared;
   const auto it = sources_.find(peer);
   if (it == sources_.end()) return actions;
   Source& source = it->second;
--- a/src/core/spread/proof_relay.h
+++ b/src/core/spread/proof_relay.h
@@ -31,6 +31,11 @@
 // itself. So does one whose sources all know of no working watch: they cannot
 // tell it of a change.
 //
+// The store may come back from an older copy, with an older configuration than
+// other nodes have. A node that has just started therefore admits no requests
+// with a key until it has compared its configuration with a node that has run
+// for a while, or found none.
+//
 // Load pattern: calls to the store grow with the number of zones instead of
 // nodes.
 class ProofRelay {
@@ -65,7 +70,18 @@
   void OnSuspended(base::Duration time);
 
   // Returns true if requests with a key may be admitted.
-  bool IsFresh(base::TimePoint now) const { return follower_.IsFresh(now); }
+  bool IsFresh(base::TimePoint now) const {
+    return settled_ && follower_.IsFresh(now);
+  }
+  // Returns true once the first configuration has been compared with those of
+  // other nodes, or none of them could be asked.
+  bool is_settled() const { return settled_; }
+  // Returns whether another node ended the comparison, not its timeout.
+  bool compared_with_peer() const { return compared_; }
+  // Returns the time since the first configuration was received.
+  base::Duration StartTime(base::TimePoint now) const {
+    return now - started_at_;
+  }
   // Returns the latest era of the store that is known.
   config::StoreEra era() const { return era_.era(); }
   // Returns the time since the store last confirmed the configuration.
@@ -101,6 +117,11 @@
   void ExcludeSilentSources(base::TimePoint now);
   void SendQueries(base::TimePoint now, RelayActions* actions);
   void SendChanges(base::TimePoint now, RelayActions* actions);
+  // Asks other nodes for a newer configuration than the first one.
+  void SendStartQueries(const RelayView& view, base::TimePoint now,
+                        RelayActions* actions);
+  // Returns true if the time to compare the first configuration is over.
+  bool IsStartOver(base::TimePoint now) const;
   // Takes a configuration and a number from another node.
   void LearnFrom(const PeerAnswer& answer, base::TimePoint now,
                  RelayActions* actions);
@@ -127,6 +148,11 @@
   config::StoreEraTracker era_;
   base::Duration validity_;  // of a confirmation
   Snapshot snapshot_;
+  bool settled_ = false;
+  bool compared_ = false;
+  base::TimePoint started_at_;  // time of the first configuration
+  std::optional<base::TimePoint> others_known_at_;
+  base::TimePoint next_start_query_;
 
   std::map<base::NodeAddress, Source> sources_;
   std::unordered_map<base::NodeAddress, base::TimePoint> excluded_;  // until
--- a/src/core/spread/reader_choice.cc
+++ b/src/core/spread/reader_choice.cc
@@ -170,4 +170,22 @@
   return view;
 }
 
+std::vector<base::NodeAddress> ChooseWitnesses(const member::MemberStore& store,
+                                               const member::MemberSelf& self,
+                                               std::size_t count,
+                                               base::Random* random) {
+  std::vector<base::NodeAddress> witnesses;
+  for (std::size_t it = 0; it < count; ++it) {
+    const auto proximity =
+        it % 2 == 0 ? member::Proximity::kZone : member::Proximity::kRegion;
+    const member::MemberIndex index =
+        member::PickPeerWithFallback(store, self, proximity, random);
+    if (!index.IsValid()) continue;
+    const base::NodeAddress& address = store.Find(index)->record.address;
+    const auto found = std::find(witnesses.begin(), witnesses.end(), address);
+    if (found == witnesses.end()) witnesses.push_back(address);
+  }
+  return witnesses;
+}
+
 }  // namespace dogwoodrail::core::spread
--- a/src/core/spread/reader_choice.h
+++ b/src/core/spread/reader_choice.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <vector>
 
 #include "core/base/random_type.h"
 #include "core/member/member_table.h"
@@ -31,6 +32,12 @@
                         const RelaySettings& settings,
                         const ExclusionCheck& is_excluded);
 
+// Returns up to `count` random live members, of this zone and of others.
+std::vector<base::NodeAddress> ChooseWitnesses(const member::MemberStore& store,
+                                               const member::MemberSelf& self,
+                                               std::size_t count,
+                                               base::Random* random);
+
 }  // namespace dogwoodrail::core::spread
 
 #endif  // DOGWOODRAIL_CORE_SPREAD_READER_CHOICE_H_
--- a/src/core/spread/spread_type.h
+++ b/src/core/spread/spread_type.h
@@ -49,6 +49,9 @@
   // Latest era of the platform's store that the peer knows. Set by ProofRelay
   // only.
   config::StoreEra store_era;
+  // The peer has run for a while or compared its first configuration with those
+  // of others. Set by ProofRelay only.
+  bool settled = false;
   std::vector<Ticket> tickets;
   bool has_snapshot = false;
   Snapshot snapshot;
@@ -111,6 +114,10 @@
 struct RelayView {
   bool is_reader = false;  // this node reads the platform for its zone
   std::vector<base::NodeAddress> sources;  // nodes to query
+  // Some other nodes, to be asked by a node that has just started.
+  std::vector<base::NodeAddress> witnesses;
+  // Other nodes are known, so that the witnesses can be asked.
+  bool others_known = false;
 };
 
 // Settings of the relay of configuration confirmations.
@@ -137,6 +144,14 @@
   base::Duration jitter = std::chrono::milliseconds(200);
   // A node that queried within this time is told of changes.
   base::Duration subscription_time = std::chrono::seconds(3);
+  // A node that has just started asks its sources and some other nodes this
+  // often for a newer configuration than the store's, until one that has run
+  // for a while has answered: at most for start_timeout after it knows others,
+  // or for longest_start after its first configuration.
+  base::Duration start_query_interval = std::chrono::milliseconds(100);
+  base::Duration start_timeout = std::chrono::milliseconds(500);
+  base::Duration longest_start = std::chrono::seconds(3);
+  std::size_t start_witnesses = 4;
   // Nodes of a zone that one node answers.
   std::size_t fanout = 100;
   // Limit on the configurations sent in one tick.
--- a/src/node/config_follow_system.cc
+++ b/src/node/config_follow_system.cc
@@ -71,7 +71,8 @@
       relay_(
           settings.relay, settings.follow,
           [this](const spread::Snapshot& it) { return ApplySnapshot(it); },
-          seed) {
+          seed),
+      random_(seed) {
   node_.links().SetHandler(
       wire::FrameKind::kSpread,
       [this](wire::LinkId from, const wire::Bytes& payload) {
@@ -87,18 +88,38 @@
 }
 
 void ConfigFollowSystem::Run(TimePoint now) {
+  ReportSettled(now);
   UpdateFreshness(now);
   UpdateView(now);
   Execute(relay_.Tick(view_, now));
 }
 
+void ConfigFollowSystem::ReportSettled(TimePoint now) {
+  if (settled_ || !relay_.is_settled()) return;
+  settled_ = true;
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      relay_.StartTime(now));
+  emit_({EventNumber::kConfigurationCompared,
+         {},
+         {},
+         "in_force=" + NumberText(relay_.in_force()) +
+             " waited_ms=" + std::to_string(waited.count()) +
+             " by=" + (relay_.compared_with_peer() ? "peer" : "timeout")});
+}
+
 void ConfigFollowSystem::UpdateView(TimePoint now) {
   if (now < next_view_update_) return;
-  next_view_update_ = now + kViewInterval;
+  const bool is_starting =
+      !relay_.is_settled() && relay_.in_force() != core::base::TicketNumber();
+  if (!is_starting) next_view_update_ = now + kViewInterval;
   const core::member::MemberTable& members = node_.members().table();
   view_ = spread::MakeRelayView(
       members.store(), members.self(), settings_,
       [this](const NodeAddress& it) { return relay_.IsExcluded(it); });
+  if (!is_starting) return;
+  view_.others_known = members.live_count() > 1;
+  view_.witnesses = spread::ChooseWitnesses(
+      members.store(), members.self(), settings_.start_witnesses, &random_);
 }
 
 void ConfigFollowSystem::Execute(spread::RelayActions actions) {
@@ -140,6 +161,7 @@
 // Logs when the configuration becomes stale, because requests with a key are
 // refused from then on.
 void ConfigFollowSystem::UpdateFreshness(TimePoint now) {
+  if (!relay_.is_settled()) return;
   const bool fresh = relay_.IsFresh(now);
   if (fresh == fresh_ || !node_.config()) return;
   fresh_ = fresh;
--- a/src/node/config_follow_system.h
+++ b/src/node/config_follow_system.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "core/base/event_type.h"
+#include "core/base/random_type.h"
 #include "core/spread/proof_relay.h"
 #include "node/host_type.h"
 #include "node/node_base.h"
@@ -36,6 +37,9 @@
   // Returns whether the configuration is fresh enough to admit requests with a
   // key.
   bool IsFresh(TimePoint now) const { return relay_.IsFresh(now); }
+  // Returns whether the first configuration has been compared with those of
+  // other nodes, so that callers may be served by it.
+  bool is_settled() const { return relay_.is_settled(); }
   // Handles the era that an answer of the store states.
   void OnStoreEra(core::config::StoreEra era);
   // Sets the hook that is called when the store has come back from an older
@@ -49,6 +53,8 @@
   void Run(TimePoint now);
   void Execute(core::spread::RelayActions actions);
   void OnEraChange(const core::config::StoreEraChange& change);
+  // Logs once when the comparison at the start is over.
+  void ReportSettled(TimePoint now);
   void OnFrame(wire::LinkId from, const wire::Bytes& payload);
   void OnAnswer(const core::config::FollowCall& call,
                 const ConfigAnswer& answer, TimePoint now);
@@ -79,6 +85,8 @@
   // Links on which other nodes sent their last query.
   std::unordered_map<core::base::NodeAddress, wire::LinkId> query_links_;
   std::function<void(TimePoint)> on_era_change_;
+  core::base::Random random_;
+  bool settled_ = false;
   std::uint64_t era_changes_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t store_failures_ = 0;
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -136,13 +136,13 @@
     return server.Listen(address->ip, address->port);
   }
 
-  // A node without a configuration is not ready, because it refuses every
-  // request.
+  // A node without a configuration that it may rely on is not ready, because it
+  // refuses requests.
   http::Response AnswerReady(const http::Request& request) {
     if (!ports_.is_readiness_probe(request)) {
       return MakeTextResponse(kNotFound, "text/plain", "");
     }
-    const bool ready = node_->config() != nullptr && !node_->stopping();
+    const bool ready = config_->is_settled() && !node_->stopping();
     return MakeTextResponse(ready ? kOk : kUnavailable, "text/plain", "");
   }
 
--- a/src/wire/spread_codec.cc
+++ b/src/wire/spread_codec.cc
@@ -50,8 +50,8 @@
       answer.confirmed_age ? answer.confirmed_age->count() : kNoAge;
   fbb.Finish(fbs::CreateSpreadFrame(
       fbb, answer.sequence, true, answer.in_force.value(), false, answer.fresh,
-      ticket_vector, snapshot, age_us, answer.watched,
-      answer.store_era.value()));
+      ticket_vector, snapshot, age_us, answer.watched, answer.store_era.value(),
+      answer.settled));
   return EncodeFrame(FrameKind::kSpread, fbb);
 }
 
@@ -72,6 +72,7 @@
   answer.fresh = frame->fresh();
   answer.watched = frame->watched();
   answer.store_era = core::config::StoreEra(frame->store_era());
+  answer.settled = frame->settled();
   if (frame->confirmed_age_us() >= 0) {
     answer.confirmed_age = core::base::Duration(frame->confirmed_age_us());
   }
--- a/src/wire/spread_generated.h
+++ b/src/wire/spread_generated.h
@@ -99,7 +99,8 @@
     VT_SNAPSHOT = 16,
     VT_CONFIRMED_AGE_US = 18,
     VT_WATCHED = 20,
-    VT_STORE_ERA = 22
+    VT_STORE_ERA = 22,
+    VT_SETTLED = 24
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -131,6 +132,9 @@
   uint64_t store_era() const {
     return GetField<uint64_t>(VT_STORE_ERA, 0);
   }
+  bool settled() const {
+    return GetField<uint8_t>(VT_SETTLED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -146,6 +150,7 @@
            VerifyField<int64_t>(verifier, VT_CONFIRMED_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_WATCHED, 1) &&
            VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SETTLED, 1) &&
            verifier.EndTable();
   }
 };
@@ -184,6 +189,9 @@
   void add_store_era(uint64_t store_era) {
     fbb_.AddElement<uint64_t>(SpreadFrame::VT_STORE_ERA, store_era, 0);
   }
+  void add_settled(bool settled) {
+    fbb_.AddElement<uint8_t>(SpreadFrame::VT_SETTLED, static_cast<uint8_t>(settled), 0);
+  }
   explicit SpreadFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -206,7 +214,8 @@
     flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot = 0,
     int64_t confirmed_age_us = -1LL,
     bool watched = false,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    bool settled = false) {
   SpreadFrameBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_confirmed_age_us(confirmed_age_us);
@@ -214,6 +223,7 @@
   builder_.add_sequence(sequence);
   builder_.add_snapshot(snapshot);
   builder_.add_tickets(tickets);
+  builder_.add_settled(settled);
   builder_.add_watched(watched);
   builder_.add_fresh(fresh);
   builder_.add_number_only(number_only);
@@ -232,7 +242,8 @@
     flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket> snapshot = 0,
     int64_t confirmed_age_us = -1LL,
     bool watched = false,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    bool settled = false) {
   auto tickets__ = tickets ? _fbb.CreateVector<flatbuffers::Offset<dogwoodrail::wire::fbs::SpreadTicket>>(*tickets) : 0;
   return dogwoodrail::wire::fbs::CreateSpreadFrame(
       _fbb,
@@ -245,7 +256,8 @@
       snapshot,
       confirmed_age_us,
       watched,
-      store_era);
+      store_era,
+      settled);
 }
 
 }  // namespace fbs
--- a/tests/unit/spread/proof_relay_test.cc
+++ b/tests/unit/spread/proof_relay_test.cc
@@ -66,6 +66,13 @@
   }
 };
 
+// Returns the view of a node that has one source.
+inline RelayView MakeView(const base::NodeAddress& source) {
+  RelayView view;
+  view.sources = {source};
+  return view;
+}
+
 }  // namespace dogwoodrail::tests::spread
 
 BOOST_AUTO_TEST_SUITE(proof_relay)
@@ -285,11 +292,11 @@
   const base::NodeAddress source("a");
   const base::TimePoint start{100s};
   const base::TicketNumber number(3);
-  relay.Tick({false, {source}}, start);
+  relay.Tick(MakeView(source), start);
   relay.OnStoreResult(1, config::FollowResult::kRead,
                       {{}, config::StoreRevision(1)}, Snapshot{number, "body"},
                       start);
-  const auto actions = relay.Tick({false, {source}}, start + 10ms);
+  const auto actions = relay.Tick(MakeView(source), start + 10ms);
   BOOST_REQUIRE(actions.queries.size() == 1U);
   PeerAnswer answer;
   answer.sequence = actions.queries.front().query.sequence;
@@ -298,7 +305,7 @@
   const base::TimePoint arrival = start + 800ms;
   relay.OnAnswer(source, answer, arrival);
   BOOST_TEST((relay.Age(arrival) == 800ms));  // the store's own answer
-  const auto later = relay.Tick({false, {source}}, start + 1s);
+  const auto later = relay.Tick(MakeView(source), start + 1s);
   BOOST_REQUIRE(later.queries.size() == 1U);
   answer.sequence = later.queries.front().query.sequence;
   answer.confirmed_age = 200ms;
@@ -312,11 +319,11 @@
       {}, follow, [](const Snapshot&) { return true; }, 1);
   const base::NodeAddress source("a");
   const base::TimePoint start{100s};
-  relay.Tick({false, {source}}, start);
+  relay.Tick(MakeView(source), start);
   relay.OnStoreResult(1, config::FollowResult::kRead,
                       {{}, config::StoreRevision(1)},
                       Snapshot{base::TicketNumber(3), "body"}, start);
-  relay.Tick({false, {source}}, start + 10ms);
+  relay.Tick(MakeView(source), start + 10ms);
   PeerAnswer answer;
   answer.in_force = base::TicketNumber(3);
   answer.confirmed_age = 0s;
--- a/tests/unit/spread/relay_simulation.h
+++ b/tests/unit/spread/relay_simulation.h
@@ -231,6 +231,12 @@
                                 [&](const base::NodeAddress& it) {
                                   return node.relay->IsExcluded(it);
                                 });
+      if (!node.relay->is_settled()) {
+        node.next_view = now_;
+        node.view.others_known = true;
+        node.view.witnesses = ChooseWitnesses(
+            members_, node.self, settings.start_witnesses, &random_);
+      }
     }
     Execute(n, node.relay->Tick(node.view, now_));
     const std::uint64_t number = node.relay->in_force().value();
--- a/tests/unit/wire/spread_codec_test.cc
+++ b/tests/unit/wire/spread_codec_test.cc
@@ -43,6 +43,17 @@
   BOOST_TEST(decoded.snapshot.body == "body");
 }
 
+// A node without these fields, of an earlier version, is not settled.
+BOOST_AUTO_TEST_CASE(era_and_start_of_the_sender_are_kept) {
+  spread::PeerAnswer answer;
+  BOOST_TEST(RoundTrip(answer).store_era.value() == 0U);
+  BOOST_TEST(!RoundTrip(answer).settled);
+  answer.store_era = core::config::StoreEra(9);
+  answer.settled = true;
+  BOOST_TEST(RoundTrip(answer).store_era.value() == 9U);
+  BOOST_TEST(RoundTrip(answer).settled);
+}
+
 // An age of zero is a confirmation, none at all is not.
 BOOST_AUTO_TEST_CASE(missing_age_is_not_an_age_of_zero) {
   spread::PeerAnswer answer;
