Configuration tickets after a return of the Object API from an older copy are in force

Callers saw: an operator's ticket was accepted, and no node took it. With a key withdrawn by it, the key stayed good on all nodes. It needs the Object API to come back from an older copy, where the object versions are given out again, and other writes (shard records) to have been lost with it.

Cause: a reader only raised the object version that it had read the head at, and went on to watch from it after a failure. The next heads got versions below that, so the watch never saw them, and its "nothing new" was taken for an answer. In the same way a reader that had learned of a number, and then asked for tickets that the platform had lost, asked for these forever and watched no more.

Change: after a failed call, or 10 s without an answer, a reader reads the head before it watches again, one call for each reader and return; the version and the number are those that the latest call returned, also if they are lower.

--- a/src/core/spread/spread_control.cc
+++ b/src/core/spread/spread_control.cc
@@ -7,6 +7,9 @@
 
 constexpr std::size_t kMaxHolders = 8;
 constexpr std::uint64_t kTicketsPerRead = 32;
+// Within this time after an answer, the platform is taken to hold the history
+// that the answer was of.
+constexpr base::Duration kMaxHistoryAge = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -95,9 +98,11 @@
   std::vector<SpreadAction> actions;
   HandlePause(now);
   freshness_.NoteContact(now);
-  if (platform_head_ < head) platform_head_ = head;  // may be a stale read
+  if (platform_head_ < head) platform_head_ = head;
   if (highest_seen_ < head) highest_seen_ = head;
   if (FinishCall(call)) {
+    platform_head_ = head;  // may be lower than before
+    platform_answered_at_ = now;
     platform_backoff_ = settings_.platform_retry_min;
     next_platform_ = now;
     confirmations_ += settings_.confirm_peers;
@@ -144,6 +149,7 @@
                                                           base::TimePoint now) {
   HandlePause(now);
   if (!FinishCall(call)) return {};
+  platform_answered_at_.reset();
   next_platform_ = now + platform_backoff_ / 2 + Jitter(platform_backoff_);
   platform_backoff_ =
       std::min(platform_backoff_ * 2, settings_.platform_retry_max);
@@ -219,6 +225,14 @@
   actions->push_back(SendQuery{peer, query});
 }
 
+// After a failure, or when it was not asked for a while, the platform may have
+// come back from an older copy. Its object versions are given out again then,
+// so that a watch from the one received before would miss the next head, and
+// tickets that it has lost could be asked for forever. Only a read tells.
+bool SpreadControl::MayWatch(base::TimePoint now) const {
+  return platform_answered_at_ && now - *platform_answered_at_ < kMaxHistoryAge;
+}
+
 // Readers watch the platform. A node without a confirmed number reads it after
 // its peers have had time to answer, so that the nodes of a zone that comes
 // back online don't all read the platform at once.
@@ -230,7 +244,9 @@
       now - freshness_.unconfirmed_since() >= settings_.query_platform_after;
   if (!view.is_reader && !needs_read) return;
   open_call_ = ++last_call_;
-  if (in_force_ < platform_head_) {
+  if (!MayWatch(now)) {
+    actions->push_back(ReadPlatform{open_call_});
+  } else if (in_force_ < platform_head_) {
     const std::uint64_t first = in_force_.value() + 1;
     const std::uint64_t last =
         std::min(platform_head_.value(), first + kTicketsPerRead - 1);
--- a/src/core/spread/spread_control.h
+++ b/src/core/spread/spread_control.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODRAIL_CORE_SPREAD_SPREAD_CONTROL_H_
 #define DOGWOODRAIL_CORE_SPREAD_SPREAD_CONTROL_H_
 
+#include <optional>
 #include <vector>
 
 #include "core/base/random_type.h"
@@ -72,6 +73,9 @@
             std::vector<SpreadAction>* actions);
   void QueryPlatform(const PeerView& view, base::TimePoint now,
                      std::vector<SpreadAction>* actions);
+  // Returns true if a watch may go on from the head that the platform returned
+  // last.
+  bool MayWatch(base::TimePoint now) const;
   void NoteAvailable(const base::NodeAddress& peer, base::TicketNumber number);
   void ApplyTickets(const std::vector<Ticket>& tickets,
                     std::vector<SpreadAction>* actions);
@@ -107,7 +111,8 @@
   std::uint64_t last_call_ = 0;
   base::TimePoint next_platform_{};
   base::Duration platform_backoff_{};
-  base::TicketNumber platform_head_;
+  base::TicketNumber platform_head_;                     // returned last
+  std::optional<base::TimePoint> platform_answered_at_;  // unset by a failure
 
   double answer_tokens_;
   base::TimePoint tokens_at_{};
--- a/src/node/config_spread.cc
+++ b/src/node/config_spread.cc
@@ -232,7 +232,7 @@
     return Apply(control_.OnPlatformValue(call, control_.in_force(), now));
   }
   const objectapi::StoredHead& stored = **head;
-  if (version_ < stored.version) version_ = stored.version;
+  NoteVersion(call, stored.version);
   const TicketNumber number = stored.head.state.number();
   if (!(control_.in_force() < number)) {
     return Apply(control_.OnPlatformValue(call, number, now));
@@ -242,6 +242,15 @@
       {number, objectapi::EncodeTicket(stored.head.last_ticket)}, now));
 }
 
+// The version may be lower than before, if the store came back from an older
+// copy. An answer that a later call has overtaken says nothing of that.
+void ConfigSpread::NoteVersion(std::uint64_t call,
+                               objectapi::ObjectVersion version) {
+  if (call < version_call_) return;
+  version_call_ = call;
+  version_ = version;
+}
+
 void ConfigSpread::OnTickets(
     std::uint64_t call,
     core::base::Result<std::vector<spread::Ticket>> tickets) {
--- a/src/node/config_spread.h
+++ b/src/node/config_spread.h
@@ -52,6 +52,8 @@
   void Execute(const core::spread::AnnounceNumber& action);
   void Execute(const core::spread::FreshnessChanged& action);
   void OnHead(std::uint64_t call, Head head);
+  // Keeps the object version that the head was read at.
+  void NoteVersion(std::uint64_t call, objectapi::ObjectVersion version);
   void OnTickets(std::uint64_t call,
                  core::base::Result<std::vector<core::spread::Ticket>> tickets);
   // Logs when the platform becomes reachable or unreachable.
@@ -69,7 +71,8 @@
   core::config::ConfigState state_;
   core::config::Ticket last_ticket_;
   core::spread::Snapshot snapshot_cache_;
-  objectapi::ObjectVersion version_;
+  objectapi::ObjectVersion version_;  // of the head read last
+  std::uint64_t version_call_ = 0;    // call that returned it
   bool reachable_ = true;
 };
 
--- a/standins/objectapi/object_server.cc
+++ b/standins/objectapi/object_server.cc
@@ -99,6 +99,7 @@
   faults_.lose_answer_after_write =
       tree->get("lose_answer_after_write", faults_.lose_answer_after_write);
   faults_.stale_reads = tree->get("stale_reads", faults_.stale_reads);
+  HandleCopy(tree->get<std::string>("copy", ""));
   exchange->Respond(http::status::no_content, "");
   // The outage is applied after a delay so that this response is sent first:
   // the request may have arrived on the port that is about to close.
@@ -107,6 +108,11 @@
   timer->async_wait([this, timer](beast::error_code) { ApplyOutage(); });
 }
 
+void ObjectServer::HandleCopy(const std::string& action) {
+  if (action == "take") copy_ = store_;
+  if (action == "restore") store_ = copy_;
+}
+
 // Without a control port the listener stays open, because the outage could not
 // be ended otherwise. Connections are closed at their first request instead.
 void ObjectServer::ApplyOutage() {
--- a/standins/objectapi/object_server.h
+++ b/standins/objectapi/object_server.h
@@ -59,6 +59,9 @@
   void Handle(const ExchangePtr& exchange);
   bool HandleControl(const ExchangePtr& exchange);
   void SetFaults(const ExchangePtr& exchange);
+  // Takes a copy of the store, or returns to the one taken before: later writes
+  // are lost, and their versions are given out again.
+  void HandleCopy(const std::string& action);
   std::string CountsText() const;
   void ApplyOutage();
   void Route(const ExchangePtr& exchange);
@@ -73,6 +76,7 @@
   HttpServer control_;
   bool has_control_;
   ObjectStore store_;
+  ObjectStore copy_;
   ObjectFaults faults_;
   ObjectCounts counts_;
   std::list<WatchPtr> watches_;
--- a/tests/integration/common/fleet.cc
+++ b/tests/integration/common/fleet.cc
@@ -228,15 +228,36 @@
   ticket.id = core::config::TicketId(id);
   ticket.author = "test";
   ticket.time = core::base::WallTime(standin::WallNow());
-  objectapi::HttpObjectStoreOptions options;
-  options.ip = "127.0.0.1";
-  options.port = platform_port_;
-  objectapi::HttpObjectStore objects(options);
+  objectapi::HttpObjectStore objects(ObjectStoreOptions());
   const auto number =
       objectapi::ConfigStore(objects).SubmitTicket(std::move(ticket));
   if (!number) throw std::runtime_error("ticket: " + number.error().detail);
 }
 
+objectapi::HttpObjectStoreOptions Fleet::ObjectStoreOptions() const {
+  objectapi::HttpObjectStoreOptions options;
+  options.ip = "127.0.0.1";
+  options.port = platform_port_;
+  return options;
+}
+
+bool Fleet::IsPlatformReachable() const {
+  return objectapi::HttpObjectStore(ObjectStoreOptions())
+      .List("test/")
+      .has_value();
+}
+
+void Fleet::WriteOtherObject(std::size_t count) const {
+  objectapi::HttpObjectStore objects(ObjectStoreOptions());
+  objectapi::ObjectVersion version(0);
+  for (std::size_t it = 0; it < count; ++it) {
+    const auto written = objects.PutIf(objectapi::ObjectKey("test/other"),
+                                       std::to_string(it), version);
+    if (!written) throw std::runtime_error("write: " + written.error().detail);
+    version = *written;
+  }
+}
+
 void Fleet::SetPlatformFault(const std::string& json) const {
   PostControl(platform_control_, "/fault", json);
 }
--- a/tests/integration/common/fleet.h
+++ b/tests/integration/common/fleet.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/config/config_type.h"
+#include "objectapi/http_object_store.h"
 #include "tests/integration/common/process.h"
 #include "tests/integration/common/raw_http.h"
 
@@ -126,6 +127,10 @@
   std::size_t size() const { return vms_.size(); }
   // Submits a change ticket to the Object API.
   void SubmitTicket(core::config::Ticket ticket) const;
+  // Returns true if the Object API answers a read.
+  bool IsPlatformReachable() const;
+  // Writes an object to the Object API that no node reads, `count` times.
+  void WriteOtherObject(std::size_t count) const;
   // Changes the active faults of the Object API.
   void SetPlatformFault(const std::string& json) const;
   // Waits until each running node reports exactly `count` ready endpoints.
@@ -141,6 +146,7 @@
 
  private:
   std::string Seeds() const;
+  objectapi::HttpObjectStoreOptions ObjectStoreOptions() const;
 
   std::string directory_;
   std::uint16_t platform_port_;
--- a/tests/integration/member/member_test.cc
+++ b/tests/integration/member/member_test.cc
@@ -85,6 +85,29 @@
   fleet.SetPlatformFault(R"({"away":"refuse"})");
 }
 
+// Returns a ticket that changes nothing that the tests look at.
+core::config::Ticket HarmlessTicket(const FleetSpec& spec) {
+  core::config::Ticket ticket;
+  ticket.accounts.push_back(spec.ticket.accounts.front());
+  return ticket;
+}
+
+// Puts the ticket in force as number 2 on all nodes, then brings the platform
+// back from a copy that holds number 1. The versions given out for `other`
+// further objects are lost too.
+void LoseSecondTicket(Fleet& fleet, const core::config::Ticket& ticket,
+                      std::size_t other) {
+  fleet.SetPlatformFault(R"({"copy":"take"})");
+  fleet.WriteOtherObject(other);
+  fleet.SubmitTicket(ticket);
+  BOOST_REQUIRE(WaitUntil(kActivationTimeout,
+                          [&] { return AllHaveConfiguration(fleet, 2); }));
+  fleet.SetPlatformFault(R"({"away":"refuse"})");
+  std::this_thread::sleep_for(1s);
+  fleet.SetPlatformFault(R"({"copy":"restore","away":"none"})");
+  BOOST_REQUIRE(WaitUntil(5s, [&] { return fleet.IsPlatformReachable(); }));
+}
+
 }  // namespace dogwoodrail::integration
 
 using namespace dogwoodrail::integration;  // NOLINT
@@ -167,4 +190,19 @@
   }
 }
 
+// The next ticket gets an object version below that of the lost one.
+BOOST_AUTO_TEST_CASE(ticket_after_a_return_from_an_older_copy_is_in_force) {
+  const FleetSpec spec = LotsFleet("older-version");
+  Fleet fleet(spec);
+  LoseSecondTicket(fleet, HarmlessTicket(spec), 20);
+  fleet.SubmitTicket(HarmlessTicket(spec));
+  fleet.SubmitTicket(KeyWithdrawalTicket(spec, "traders"));
+  BOOST_TEST(WaitUntil(kActivationTimeout,
+                       [&] { return AllHaveConfiguration(fleet, 3); }));
+  for (std::size_t it = 0; it < fleet.size(); ++it) {
+    BOOST_TEST(ResponseStatus(fleet.vm(it), "traders") == 401);
+    BOOST_TEST(ResponseStatus(fleet.vm(it), "stitchers") == 200);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/spread/spread_control_test.cc
+++ b/tests/unit/spread/spread_control_test.cc
@@ -40,6 +40,31 @@
           [](const Snapshot&) { return true; }, NoSnapshot};
 }
 
+// A reader without peers that calls the platform, one call at a time.
+struct Reader {
+  SpreadControl control{{}, AcceptAll(), 1};
+  base::TimePoint now{};
+
+  // Returns the next call to the platform.
+  SpreadAction NextCall() {
+    for (int it = 0; it < 600; ++it) {
+      now += 100ms;
+      const auto actions = control.Tick({{}, true}, now);
+      if (!actions.empty()) return actions.front();
+    }
+    return FreshnessChanged{false};
+  }
+  // Answers the next call, a read or a watch, with a head.
+  void AnswerHead(std::uint64_t number) {
+    const SpreadAction action = NextCall();
+    const auto* read = std::get_if<ReadPlatform>(&action);
+    const std::uint64_t call =
+        read != nullptr ? read->call : std::get<WatchPlatform>(action).call;
+    const base::TicketNumber head(number);
+    control.OnPlatformHead(call, {head, "state"}, {head, "ticket"}, now);
+  }
+};
+
 }  // namespace dogwoodrail::tests::spread
 
 BOOST_AUTO_TEST_SUITE(spread_control)
@@ -235,6 +260,29 @@
   BOOST_TEST(control.in_force().value() == 7u);
 }
 
+// The platform may have come back from an older copy, where the version that a
+// watch would start from stands for another head.
+BOOST_AUTO_TEST_CASE(head_is_read_anew_after_a_failed_watch) {
+  Reader reader;
+  reader.AnswerHead(5);
+  const SpreadAction watch = reader.NextCall();
+  BOOST_REQUIRE(std::holds_alternative<WatchPlatform>(watch));
+  reader.control.OnPlatformFailed(std::get<WatchPlatform>(watch).call,
+                                  reader.now);
+  BOOST_TEST(std::holds_alternative<ReadPlatform>(reader.NextCall()));
+}
+
+BOOST_AUTO_TEST_CASE(tickets_that_the_platform_lost_are_not_asked_for_forever) {
+  Reader reader;
+  reader.AnswerHead(5);
+  reader.AnswerHead(7);
+  const auto tickets = std::get<ReadPlatformTickets>(reader.NextCall());
+  BOOST_TEST(tickets.first.value() == 6u);
+  reader.control.OnPlatformFailed(tickets.call, reader.now);
+  reader.AnswerHead(5);
+  BOOST_TEST(std::holds_alternative<WatchPlatform>(reader.NextCall()));
+}
+
 BOOST_AUTO_TEST_CASE(answer_to_query_from_before_pause_confirms_nothing) {
   SpreadSettings settings;
   SpreadControl control(settings, AcceptAll(), 1);
