A ticket that got the number of a lost one is not left out of the configuration

Callers saw: the Object API came back from an older copy, and the operator's next ticket got the number of one that the copy lacks. The nodes had that number in force already. They applied the ticket after it to their own state, so that what the ticket in between had changed was never in force: a key that it withdrew stayed good for good.

Cause: a ticket is applied if its number is the next one. Nothing compared the two states that the number stood for.

Change: a reader applies the next ticket only if that leads to the state that the head holds, which it has read anyway; else, or after a head of a lower object version, it takes that state as a whole. Its log of tickets is empty then, so that other nodes get the state from it too.

What remains: the ticket that got the number is in force only with the next one.

--- a/src/core/spread/spread_control.cc
+++ b/src/core/spread/spread_control.cc
@@ -111,17 +111,16 @@
   return actions;
 }
 
-std::vector<SpreadAction> SpreadControl::OnPlatformHead(std::uint64_t call,
-                                                        const Snapshot& head,
-                                                        const Ticket& last,
-                                                        base::TimePoint now) {
+std::vector<SpreadAction> SpreadControl::OnPlatformHead(
+    std::uint64_t call, const Snapshot& head, const std::optional<Ticket>& last,
+    base::TimePoint now) {
   std::vector<SpreadAction> actions;
   HandlePause(now);
-  ApplyTickets({last}, &actions);
+  if (last) ApplyTickets({*last}, &actions);
   const bool far_behind =
       head.number.value() >= kTicketsPerRead &&
       in_force_.value() < head.number.value() - kTicketsPerRead;
-  if (far_behind || in_force_ == base::TicketNumber()) {
+  if (!last || far_behind || in_force_ == base::TicketNumber()) {
     ApplySnapshot(head, &actions);
   }
   std::vector<SpreadAction> more = OnPlatformValue(call, head.number, now);
--- a/src/core/spread/spread_control.h
+++ b/src/core/spread/spread_control.h
@@ -45,10 +45,12 @@
                                             base::TicketNumber head,
                                             base::TimePoint now);
   // Handles the head returned by the platform with its full state and its last
-  // ticket. The state is applied only if this node is far behind.
+  // ticket. The state is applied only if this node is far behind, or if there
+  // is no `last`: the tickets of the platform do not continue those applied
+  // here.
   std::vector<SpreadAction> OnPlatformHead(std::uint64_t call,
                                            const Snapshot& head,
-                                           const Ticket& last,
+                                           const std::optional<Ticket>& last,
                                            base::TimePoint now);
   // Handles tickets read from the platform.
   std::vector<SpreadAction> OnPlatformTickets(
--- a/src/node/config_spread.cc
+++ b/src/node/config_spread.cc
@@ -237,9 +237,25 @@
   if (!(control_.in_force() < number)) {
     return Apply(control_.OnPlatformValue(call, number, now));
   }
+  std::optional<spread::Ticket> last;
+  if (ContinuesState(stored.head)) {
+    last = {number, objectapi::EncodeTicket(stored.head.last_ticket)};
+  }
   Apply(control_.OnPlatformHead(
-      call, {number, objectapi::EncodeHead(stored.head)},
-      {number, objectapi::EncodeTicket(stored.head.last_ticket)}, now));
+      call, {number, objectapi::EncodeHead(stored.head)}, last, now));
+  if (control_.in_force() == number) history_lost_ = false;
+}
+
+// The store may have come back from an older copy, and then have given numbers
+// of tickets that are in force here to others. The next ticket shows it:
+// applied here, it does not lead to the state of the store.
+bool ConfigSpread::ContinuesState(const objectapi::ConfigHead& head) const {
+  if (history_lost_) return false;
+  const bool is_next =
+      head.state.number().value() == state_.number().value() + 1;
+  if (!is_next) return true;
+  const auto state = core::config::ApplyTicket(state_, head.last_ticket);
+  return state && *state == head.state;
 }
 
 // The version may be lower than before, if the store came back from an older
@@ -248,6 +264,7 @@
                                objectapi::ObjectVersion version) {
   if (call < version_call_) return;
   version_call_ = call;
+  if (version < version_) history_lost_ = true;
   version_ = version;
 }
 
--- a/src/node/config_spread.h
+++ b/src/node/config_spread.h
@@ -52,6 +52,9 @@
   void Execute(const core::spread::AnnounceNumber& action);
   void Execute(const core::spread::FreshnessChanged& action);
   void OnHead(std::uint64_t call, Head head);
+  // Returns false if the head is known not to follow from the configuration in
+  // force by the head's last tickets.
+  bool ContinuesState(const objectapi::ConfigHead& head) const;
   // Keeps the object version that the head was read at.
   void NoteVersion(std::uint64_t call, objectapi::ObjectVersion version);
   void OnTickets(std::uint64_t call,
@@ -73,6 +76,7 @@
   core::spread::Snapshot snapshot_cache_;
   objectapi::ObjectVersion version_;  // of the head read last
   std::uint64_t version_call_ = 0;    // call that returned it
+  bool history_lost_ = false;         // a head of a lower version was returned
   bool reachable_ = true;
 };
 
--- a/tests/integration/member/member_test.cc
+++ b/tests/integration/member/member_test.cc
@@ -205,4 +205,20 @@
   }
 }
 
+// The number of the lost ticket is given to one that withdraws a key. Nodes do
+// not take a second ticket by that number, but the next one holds its effect.
+BOOST_AUTO_TEST_CASE(ticket_with_the_number_of_a_lost_one_is_not_left_out) {
+  const FleetSpec spec = LotsFleet("older-number");
+  Fleet fleet(spec);
+  LoseSecondTicket(fleet, HarmlessTicket(spec), 0);
+  fleet.SubmitTicket(KeyWithdrawalTicket(spec, "traders"));
+  fleet.SubmitTicket(HarmlessTicket(spec));
+  BOOST_TEST(WaitUntil(kActivationTimeout,
+                       [&] { return AllHaveConfiguration(fleet, 3); }));
+  for (std::size_t it = 0; it < fleet.size(); ++it) {
+    BOOST_TEST(ResponseStatus(fleet.vm(it), "traders") == 401);
+    BOOST_TEST(ResponseStatus(fleet.vm(it), "stitchers") == 200);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/spread/spread_control_test.cc
+++ b/tests/unit/spread/spread_control_test.cc
@@ -61,7 +61,7 @@
     const std::uint64_t call =
         read != nullptr ? read->call : std::get<WatchPlatform>(action).call;
     const base::TicketNumber head(number);
-    control.OnPlatformHead(call, {head, "state"}, {head, "ticket"}, now);
+    control.OnPlatformHead(call, {head, "state"}, Ticket{head, "ticket"}, now);
   }
 };
 
@@ -232,7 +232,7 @@
   const base::TimePoint now{};
   const auto take = [&](std::uint64_t number) {
     const base::TicketNumber head(number);
-    control.OnPlatformHead(0, {head, "state"}, {head, "ticket"}, now);
+    control.OnPlatformHead(0, {head, "state"}, Ticket{head, "ticket"}, now);
     return control.in_force().value();
   };
   BOOST_TEST(take(5) == 5u);  // nothing was in force
@@ -245,6 +245,33 @@
   BOOST_TEST(take(4) == 100u);
 }
 
+// Peers must not apply the ticket either: they get the state.
+BOOST_AUTO_TEST_CASE(state_replaces_a_ticket_that_does_not_continue) {
+  std::size_t snapshots = 0;
+  ConfigurationHooks hooks = AcceptAll();
+  hooks.apply_snapshot = [&](const Snapshot&) {
+    ++snapshots;
+    return true;
+  };
+  hooks.make_snapshot = [] { return Snapshot{base::TicketNumber(3), "state"}; };
+  SpreadControl control({}, hooks, 1);
+  const base::TimePoint now{};
+  const base::TicketNumber second(2);
+  const base::TicketNumber third(3);
+  control.OnPlatformTickets(0, {{base::TicketNumber(1), "ticket"}}, now);
+  control.OnPlatformTickets(0, {{second, "ticket"}}, now);
+  control.OnPlatformHead(0, {second, "state"}, std::nullopt, now);
+  BOOST_TEST(snapshots == 0u);  // never for the number in force
+  control.OnPlatformHead(0, {third, "state"}, std::nullopt, now);
+  BOOST_TEST(snapshots == 1u);
+  PeerQuery query;
+  query.after = second;
+  const auto actions = control.OnQuery(base::NodeAddress("a"), query, now);
+  const PeerAnswer& answer = std::get<SendAnswer>(actions.front()).answer;
+  BOOST_TEST(answer.has_snapshot);
+  BOOST_TEST(answer.tickets.empty());
+}
+
 BOOST_AUTO_TEST_CASE(lower_snapshots_and_gaps_are_ignored) {
   SpreadControl control({}, AcceptAll(), 1);
   const base::TimePoint now{};
