An answer to an earlier process at the address confirms no view of the members

What could be seen: a node that has just started takes its view for confirmed, though it knows nobody, if an answer to the process before at its address arrives after the start. Found by reading; no caller is known to have met it.

Cause: the sequences of sync requests start at a random number, and an answer was taken for one of this process if its sequence was not below the first. Of those to another process half are not.

Change: the sequence must not be above the last one sent either.

--- a/src/core/member/sync_control.cc
+++ b/src/core/member/sync_control.cc
@@ -257,8 +257,11 @@
 void SyncControl::OnAnswer(const MemberMessage& message, base::TimePoint now) {
   if (message.differing_zones > kZonesPerRequest) ScheduleSoon(now);
   was_equal_ = message.differing_zones == 0;
-  // Answers left in the socket during a pause describe the view before it.
-  if (confirmed_ || message.sequence < first_valid_sequence_) return;
+  // Answers left in the socket during a pause describe the view before it, and
+  // answers to another process, which had this address before, that one's.
+  const bool is_own = message.sequence >= first_valid_sequence_ &&
+                      message.sequence <= next_sequence_;
+  if (confirmed_ || !is_own) return;
   const bool waited = now - unconfirmed_since_ >= settings_.join_grace;
   if (!message.confirmed && !waited) return;
   ++answers_;
--- a/tests/unit/member/member_table_test.cc
+++ b/tests/unit/member/member_table_test.cc
@@ -285,6 +285,38 @@
   BOOST_TEST(!sim[0].table->SpreadRumour(rumour));
 }
 
+// An answer that was sent to the process before at the address arrives after
+// the start. Its sequence may be higher than any that this process has sent.
+BOOST_AUTO_TEST_CASE(answer_to_an_earlier_process_confirms_nothing) {
+  const base::NodeAddress peer("10.0.0.2:1");
+  MemberSelf self;
+  self.address = base::NodeAddress("10.0.0.1:1");
+  MemberSettings settings;
+  settings.seeds = {peer};
+  MemberTable table(self, settings, 1);
+  base::TimePoint now{};
+  const std::vector<MemberAction> actions = table.Tick(now);
+  std::uint64_t sent = 0;
+  for (const MemberAction& it : actions) {
+    const auto* send = std::get_if<SendMemberMessage>(&it);
+    const bool asks =
+        send != nullptr && send->message.kind == MessageKind::kSyncZones;
+    if (asks) sent = send->message.sequence;
+  }
+  BOOST_REQUIRE(sent != 0u);
+  MemberMessage answer;
+  answer.kind = MessageKind::kSyncAnswer;
+  answer.confirmed = true;
+  answer.sender.address = peer;
+  answer.sequence = sent + 1;
+  now += 10ms;
+  table.OnDatagram(peer, answer, now);
+  BOOST_TEST(!table.IsConfirmed());
+  answer.sequence = sent;
+  table.OnDatagram(peer, answer, now);
+  BOOST_TEST(table.IsConfirmed());
+}
+
 BOOST_DATA_TEST_CASE(traffic_stays_within_the_budget, kSeeds, seed) {
   Fleet sim(seed);
   sim.Run(60s);
