Proposal: a late answer of an older era gives no position

It set the follower's era back, and its revision started the next long watch. A read still confirms as of its sending; the read after it waits for retry_min, so that a store whose era went back is not read without a pause. A store that states no era is followed as before.

--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -57,6 +57,12 @@
   return call.watch && call.after.era != era_;
 }
 
+// Such an answer was on its way while the era changed. A store that states no
+// era is none of an older one.
+bool ConfigFollower::IsOfOlderEra(const StorePosition& position) const {
+  return StoreEra() < position.era && position.era < era_;
+}
+
 bool ConfigFollower::IsWatching(base::TimePoint now) const {
   const base::Duration longest = settings_.watch_wait + response_time_;
   return answered_id_ != 0 && failures_ == 0 && now - answered_at_ <= longest;
@@ -87,7 +93,8 @@
   answered_at_ = now;
   failures_ = 0;
   next_at_ = now;
-  era_ = position.era;
+  const bool is_late = IsOfOlderEra(position);
+  if (!is_late) era_ = position.era;
   if (result == FollowResult::kHistoryGone || IsOfOtherEra(open->call)) {
     position_.reset();
     return;
@@ -104,6 +111,10 @@
     Confirm(timed_out ? open->sent_at + wait : open->sent_at,
             open->call.watch ? ConfirmSource::kWatch : ConfirmSource::kRead);
   }
+  if (is_late) {
+    next_at_ = now + settings_.retry_min;
+    return;
+  }
   position_ = position;
   position_at_ = now;
 }
--- a/src/core/config/config_follower.h
+++ b/src/core/config/config_follower.h
@@ -109,6 +109,8 @@
   bool IsOverdue(const OpenCall& open, base::TimePoint now) const;
   // Returns true if a call watches from a position of another era.
   bool IsOfOtherEra(const FollowCall& call) const;
+  // Returns true if an answer states an older era than the one known.
+  bool IsOfOlderEra(const StorePosition& position) const;
   void Confirm(base::TimePoint time, ConfirmSource source);
   void ScheduleRetry(base::TimePoint now);
 
