A lower head of the Object API confirms no number after a pause

Callers could have seen: a node that was paused while a ticket withdrew a key takes the key again, if no other node answers it and the Object API returns a stale head, or has come back from a copy of before. Found by reading.

Cause: each answer of the platform counted as a confirmation of the number in force, also one with a lower number, and a watch that ended without a change from a version read before the pause.

Change: a head below the number in force does not confirm it, unless the fleet has one node; a watch without a change stands for the head that it started from; after a pause the head is read before it is watched.

unit_spread: head_is_read_anew_after_a_pause and lower_head_does_not_confirm_the_number_after_a_pause failed before; unit_spread and integration_member passed as a whole once.

--- a/src/core/spread/spread_control.cc
+++ b/src/core/spread/spread_control.cc
@@ -105,12 +105,26 @@
     platform_answered_at_ = now;
     platform_backoff_ = settings_.platform_retry_min;
     next_platform_ = now;
-    confirmations_ += settings_.confirm_peers;
+    ConfirmByPlatform(head, now);
   }
   TryConfirm(now, &actions);
   return actions;
 }
 
+// A lower head is a stale read, or the platform came back from an older copy:
+// it cannot tell whether a higher number is in force elsewhere. A fleet of one
+// has no other node to ask.
+void SpreadControl::ConfirmByPlatform(base::TicketNumber head,
+                                      base::TimePoint now) {
+  if (settings_.has_peers && head < in_force_) {
+    if (!freshness_.IsConfirmed()) {
+      next_platform_ = now + settings_.platform_retry_min;
+    }
+    return;
+  }
+  confirmations_ += settings_.confirm_peers;
+}
+
 std::vector<SpreadAction> SpreadControl::OnPlatformHead(
     std::uint64_t call, const Snapshot& head, const std::optional<Ticket>& last,
     base::TimePoint now) {
@@ -170,6 +184,7 @@
   confirmations_ = 0;
   next_confirm_ = now;
   open_call_ = 0;
+  platform_answered_at_.reset();
 }
 
 // Confirms the number once enough sources have answered and the highest number
@@ -224,10 +239,11 @@
   actions->push_back(SendQuery{peer, query});
 }
 
-// After a failure, or when it was not asked for a while, the platform may have
-// come back from an older copy. Its object versions are given out again then,
-// so that a watch from the one received before would miss the next head, and
-// tickets that it has lost could be asked for forever. Only a read tells.
+// After a failure or a pause, or when it was not asked for a while, the
+// platform may have come back from an older copy. Its object versions are given
+// out again then, so that a watch from the one received before would miss the
+// next head, and tickets that it has lost could be asked for forever. Only a
+// read tells.
 bool SpreadControl::MayWatch(base::TimePoint now) const {
   return platform_answered_at_ && now - *platform_answered_at_ < kMaxHistoryAge;
 }
--- a/src/core/spread/spread_control.h
+++ b/src/core/spread/spread_control.h
@@ -40,7 +40,7 @@
                                      base::TimePoint now);
 
   // Handles the head number returned by a platform read or watch. A watch that
-  // ends without a change returns the number that it started from.
+  // ends without a change returns the number of the head that it started from.
   std::vector<SpreadAction> OnPlatformValue(std::uint64_t call,
                                             base::TicketNumber head,
                                             base::TimePoint now);
@@ -75,6 +75,8 @@
             std::vector<SpreadAction>* actions);
   void QueryPlatform(const PeerView& view, base::TimePoint now,
                      std::vector<SpreadAction>* actions);
+  // Confirms the number in force by a head that the platform returned.
+  void ConfirmByPlatform(base::TicketNumber head, base::TimePoint now);
   // Returns true if a watch may go on from the head that the platform returned
   // last.
   bool MayWatch(base::TimePoint now) const;
@@ -113,8 +115,9 @@
   std::uint64_t last_call_ = 0;
   base::TimePoint next_platform_{};
   base::Duration platform_backoff_{};
-  base::TicketNumber platform_head_;                     // returned last
-  std::optional<base::TimePoint> platform_answered_at_;  // unset by a failure
+  base::TicketNumber platform_head_;  // returned last
+  std::optional<base::TimePoint>
+      platform_answered_at_;  // unset by a failure or pause
 
   double answer_tokens_;
   base::TimePoint tokens_at_{};
--- a/src/node/config_spread.cc
+++ b/src/node/config_spread.cc
@@ -229,10 +229,10 @@
   UpdatePlatformReachable(head.has_value(), head ? "" : head.error().detail);
   if (!head) return Apply(control_.OnPlatformFailed(call, now));
   if (!*head) {
-    return Apply(control_.OnPlatformValue(call, control_.in_force(), now));
+    return Apply(control_.OnPlatformValue(call, head_number_, now));
   }
   const objectapi::StoredHead& stored = **head;
-  NoteVersion(call, stored.version);
+  NoteHead(call, stored);
   const TicketNumber number = stored.head.state.number();
   if (!(control_.in_force() < number)) {
     return Apply(control_.OnPlatformValue(call, number, now));
@@ -260,12 +260,13 @@
 
 // The version may be lower than before, if the store came back from an older
 // copy. An answer that a later call has overtaken says nothing of that.
-void ConfigSpread::NoteVersion(std::uint64_t call,
-                               objectapi::ObjectVersion version) {
-  if (call < version_call_) return;
-  version_call_ = call;
-  if (version < version_) history_lost_ = true;
-  version_ = version;
+void ConfigSpread::NoteHead(std::uint64_t call,
+                            const objectapi::StoredHead& head) {
+  if (call < head_call_) return;
+  head_call_ = call;
+  if (head.version < version_) history_lost_ = true;
+  version_ = head.version;
+  head_number_ = head.head.state.number();
 }
 
 void ConfigSpread::OnTickets(
--- a/src/node/config_spread.h
+++ b/src/node/config_spread.h
@@ -55,8 +55,8 @@
   // Returns false if the head is known not to follow from the configuration in
   // force by the head's last tickets.
   bool ContinuesState(const objectapi::ConfigHead& head) const;
-  // Keeps the object version that the head was read at.
-  void NoteVersion(std::uint64_t call, objectapi::ObjectVersion version);
+  // Keeps the number and object version of a head that was read.
+  void NoteHead(std::uint64_t call, const objectapi::StoredHead& head);
   void OnTickets(std::uint64_t call,
                  core::base::Result<std::vector<core::spread::Ticket>> tickets);
   // Logs when the platform becomes reachable or unreachable.
@@ -74,9 +74,10 @@
   core::config::ConfigState state_;
   core::config::Ticket last_ticket_;
   core::spread::Snapshot snapshot_cache_;
-  objectapi::ObjectVersion version_;  // of the head read last
-  std::uint64_t version_call_ = 0;    // call that returned it
-  bool history_lost_ = false;         // a head of a lower version was returned
+  std::uint64_t head_call_ = 0;       // call that returned the head read last
+  objectapi::ObjectVersion version_;  // of that head
+  core::base::TicketNumber head_number_;  // of that head
+  bool history_lost_ = false;  // a head of a lower version was returned
   bool reachable_ = true;
 };
 
--- a/tests/unit/spread/spread_control_test.cc
+++ b/tests/unit/spread/spread_control_test.cc
@@ -310,6 +310,26 @@
   BOOST_TEST(std::holds_alternative<WatchPlatform>(reader.NextCall()));
 }
 
+BOOST_AUTO_TEST_CASE(head_is_read_anew_after_a_pause) {
+  Reader reader;
+  reader.AnswerHead(5);
+  reader.now += 5s;
+  BOOST_TEST(std::holds_alternative<ReadPlatform>(reader.NextCall()));
+}
+
+// The head may be a stale read, or that of a platform which came back from an
+// older copy: newer tickets may be in force elsewhere.
+BOOST_AUTO_TEST_CASE(lower_head_does_not_confirm_the_number_after_a_pause) {
+  Reader reader;
+  reader.AnswerHead(5);
+  BOOST_REQUIRE(reader.control.IsFresh(reader.now));
+  reader.now += 60s;
+  reader.AnswerHead(4);
+  BOOST_TEST(!reader.control.IsFresh(reader.now));
+  reader.AnswerHead(5);
+  BOOST_TEST(reader.control.IsFresh(reader.now));
+}
+
 BOOST_AUTO_TEST_CASE(answer_to_query_from_before_pause_confirms_nothing) {
   SpreadSettings settings;
   SpreadControl control(settings, AcceptAll(), 1);
