Directory: a node writes its entry again when the store has lost it

Callers saw: after the store had come back from a copy without the nodes' entries, a node that was started again found no one.

Cause: a node wrote its entry once and took the acknowledgement as lasting. The entry, the drain mark in it, and a write acknowledged just before the drill were gone, and nobody looked.

Change: when the era rises, the entry counts as unconfirmed. It is read again after a random delay and written again if it is missing or different; the drain mark that the process knows stays. The delays are below 500 ms, or spread such that all nodes read 120 entries a second (each may take two writes of 400). A node that was told to drain in the last 60 s goes first, within 200 ms or a fiftieth of the spread; older marks, which most nodes have, are in the copy and would make a rush of all nodes. A call in progress at the change proves nothing, a second change starts anew, failures back off, and the acknowledgement of a drain waits, for its bounded time, until the entry is verified. A node that is alone lists again within 1 s. Event 610 says what was found and written again.

A read entry that has this process's mark is not written a second time.

Not covered: two nodes that start together before the others have written again find each other, list no more, and wait for one of the others to ask them.

--- a/src/core/base/event_table.cc
+++ b/src/core/base/event_table.cc
@@ -47,6 +47,7 @@
       {EventNumber::kStoreEraChanged, "store_era_changed", EventLevel::kWarning, "the store came back from an older copy and may have lost changes that it had acknowledged; the eras are in the detail"},
       {EventNumber::kConfigurationRead, "configuration_read", EventLevel::kInfo, "the store answered a read, or a watch other than with no change; what was asked, the answer's era and revision, the number read and the one in force are in the detail"},
       {EventNumber::kConfigurationCompared, "configuration_compared", EventLevel::kInfo, "the first configuration of this process has been compared with those of other nodes, or none could be asked; requests with a key are admitted from now on"},
+      {EventNumber::kDirectoryEntryRewritten, "directory_entry_rewritten", EventLevel::kInfo, "the store had lost this node's entry, or had an older one, after it came back from an older copy; the entry is there again, and what was found is in the detail"},
       {EventNumber::kPoisonSuspected, "poison_suspected", EventLevel::kWarning, "a backend server ended with requests in flight; their fingerprints are in the detail"},
       {EventNumber::kPoisonStopped, "poison_stopped", EventLevel::kWarning, "a request that crashes backend servers is refused from now on; the crashes that count against it are in the detail"},
       {EventNumber::kPoisonReleased, "poison_released", EventLevel::kInfo, "a request is no longer refused: it has completed, or the crashes are too old"},
--- a/src/core/base/event_type.h
+++ b/src/core/base/event_type.h
@@ -53,6 +53,7 @@
   kStoreEraChanged = 607,
   kConfigurationRead = 608,
   kConfigurationCompared = 609,
+  kDirectoryEntryRewritten = 610,
   // 7xx poison requests
   kPoisonSuspected = 701,
   kPoisonStopped = 702,
--- a/src/core/member/directory.cc
+++ b/src/core/member/directory.cc
@@ -20,47 +20,61 @@
     call_ = exists_ ? DirectoryCall::kReadOwn : DirectoryCall::kCreateOwn;
   } else if (dirty_) {
     call_ = DirectoryCall::kWriteOwn;
+  } else if (verify_at_ && now >= *verify_at_) {
+    call_ = DirectoryCall::kReadOwn;
   } else if (!listed_ || (alone_ && now >= list_at_)) {
     call_ = DirectoryCall::kList;
   }
   return call_;
 }
 
-void Directory::OnCreated(bool created, base::TimePoint now) {
+bool Directory::EndCall(base::TimePoint now) {
   call_.reset();
   failures_ = 0;
   next_at_ = now;
+  return std::exchange(call_outdated_, false);
+}
+
+void Directory::OnCreated(bool created, base::TimePoint now) {
+  const bool marked = std::exchange(dirty_during_write_, false);
+  if (EndCall(now)) return;
   exists_ = !created;
   if (!created) return;
   read_ = true;
-  dirty_ = std::exchange(dirty_during_write_, false);
+  dirty_ = marked;
 }
 
-// A drain mark set before the entry was read is newer than the one in the
-// entry.
-void Directory::OnOwn(const std::optional<DirectoryEntry>& entry,
-                      base::TimePoint now) {
-  call_.reset();
-  failures_ = 0;
-  next_at_ = now;
+// A drain mark that this process knows is newer than the one in the entry; if
+// it knows none, the one in the entry holds whatever the era it was read in.
+EntryMatch Directory::OnOwn(const std::optional<DirectoryEntry>& entry,
+                            base::TimePoint now) {
+  const bool outdated = EndCall(now);
+  if (entry && !own_.drained) own_.drained = entry->drained;
+  const EntryMatch match = Compare(entry);
+  if (outdated) return match;
   read_ = true;
-  const bool marked = own_.drained.has_value();
-  dirty_during_write_ = false;
-  if (entry && !marked) own_.drained = entry->drained;
-  dirty_ = marked || !entry || entry->address != own_.address;
+  dirty_ = match != EntryMatch::kSame;
+  if (!dirty_) verify_at_.reset();
+  return match;
+}
+
+EntryMatch Directory::Compare(
+    const std::optional<DirectoryEntry>& entry) const {
+  if (!entry) return EntryMatch::kMissing;
+  const bool same =
+      entry->address == own_.address && entry->drained == own_.drained;
+  return same ? EntryMatch::kSame : EntryMatch::kDifferent;
 }
 
 void Directory::OnWritten(base::TimePoint now) {
-  call_.reset();
-  failures_ = 0;
-  next_at_ = now;
-  dirty_ = std::exchange(dirty_during_write_, false);
+  const bool marked = std::exchange(dirty_during_write_, false);
+  if (EndCall(now)) return;
+  dirty_ = marked;
+  verify_at_.reset();
 }
 
 void Directory::OnList(base::TimePoint now) {
-  call_.reset();
-  failures_ = 0;
-  next_at_ = now;
+  EndCall(now);
   listed_ = true;
   list_at_ = now + relist_pause_;
   relist_pause_ = std::min(relist_pause_ * 2, settings_.relist_max);
@@ -68,15 +82,39 @@
 
 void Directory::OnFailed(base::TimePoint now) {
   call_.reset();
+  call_outdated_ = false;
   dirty_during_write_ = false;
   next_at_ = now + base::BackoffDelay(failures_, settings_.retry_min,
                                       settings_.retry_max, random_);
   ++failures_;
 }
 
+// An entry that has not been read yet, or is to be written, needs no delay: its
+// call is due in any case.
+void Directory::OnEraChanged(std::size_t nodes, base::TimePoint now) {
+  call_outdated_ = call_.has_value();
+  relist_pause_ = settings_.relist_min;
+  list_at_ = std::min(list_at_, now + relist_pause_);
+  if (read_) verify_at_ = now + DrawVerifyDelay(nodes, now);
+}
+
+base::Duration Directory::DrawVerifyDelay(std::size_t nodes,
+                                          base::TimePoint now) {
+  const base::Duration all =
+      base::Duration(std::chrono::seconds(nodes)) / settings_.verify_rate;
+  base::Duration spread = std::max(settings_.verify_min, all);
+  if (marked_at_ && now - *marked_at_ < settings_.fresh_mark) {
+    spread =
+        std::max(settings_.verify_marked_min, all / settings_.marked_share);
+  }
+  return base::Duration(static_cast<base::Duration::rep>(
+      base::RandomBelow(random_, static_cast<std::uint64_t>(spread.count()))));
+}
+
 void Directory::SetDrained(const backend::DrainMark& mark,
                            base::TimePoint now) {
   own_.drained = mark;
+  marked_at_ = now;
   dirty_ = true;
   const bool is_writing =
       call_ == DirectoryCall::kWriteOwn || call_ == DirectoryCall::kCreateOwn;
--- a/src/node/directory_system.cc
+++ b/src/node/directory_system.cc
@@ -1,6 +1,7 @@
 #include "node/directory_system.h"
 
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -10,6 +11,7 @@
 using core::base::Result;
 using core::member::DirectoryCall;
 using core::member::DirectoryEntry;
+using core::member::EntryMatch;
 
 DirectorySystem::DirectorySystem(
     const core::member::DirectorySettings& settings, std::uint64_t seed,
@@ -58,24 +60,40 @@
   ports_.read_own_entry(
       [this](const Result<std::optional<DirectoryEntry>>& entry) {
         if (!entry) return OnFailed(entry.error());
-        const TimePoint now = Node::Now();
-        directory_.OnOwn(*entry, now);
-        if (*entry && (*entry)->drained && on_drain_mark_) {
-          on_drain_mark_(*(*entry)->drained);
-        }
-        Tick(now);
+        OnOwn(*entry);
       });
 }
 
+void DirectorySystem::OnOwn(const std::optional<DirectoryEntry>& entry) {
+  const TimePoint now = Node::Now();
+  const bool had_mark = directory_.own().drained.has_value();
+  const EntryMatch match = directory_.OnOwn(entry, now);
+  found_ = directory_.is_verifying() ? match : EntryMatch::kSame;
+  const auto& mark = directory_.own().drained;
+  if (!had_mark && mark && on_drain_mark_) on_drain_mark_(*mark);
+  Tick(now);
+}
+
 void DirectorySystem::WriteOwn() {
   ports_.write_own_entry(directory_.own(), [this](const Result<void>& written) {
     if (!written) return OnFailed(written.error());
     const TimePoint now = Node::Now();
     directory_.OnWritten(now);
+    ReportRewritten();
     Tick(now);
   });
 }
 
+void DirectorySystem::ReportRewritten() {
+  if (found_ == EntryMatch::kSame || !directory_.is_written()) return;
+  const bool missing =
+      std::exchange(found_, EntryMatch::kSame) == EntryMatch::kMissing;
+  emit_({core::base::EventNumber::kDirectoryEntryRewritten,
+         {},
+         {},
+         std::string("found=") + (missing ? "missing" : "different")});
+}
+
 void DirectorySystem::List() {
   ports_.list_entries([this](const Result<std::vector<DirectoryEntry>>& list) {
     if (!list) return OnFailed(list.error());
@@ -88,6 +106,10 @@
   });
 }
 
+void DirectorySystem::OnEraChanged(TimePoint now) {
+  directory_.OnEraChanged(node_.members().table().live_count(), now);
+}
+
 void DirectorySystem::StoreDrainMark(const DrainMark& mark, TimePoint now) {
   directory_.SetDrained(mark, now);
   Tick(now);
--- a/src/node/directory_system.h
+++ b/src/node/directory_system.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "core/base/error_type.h"
 #include "core/base/event_type.h"
@@ -25,6 +26,9 @@
 
   // Starts the next store call if one is due.
   void Tick(TimePoint now);
+  // Handles that the store has come back from an older copy: it may have lost
+  // this node's entry.
+  void OnEraChanged(TimePoint now);
   // Stores a drain mark in this node's entry, so that it survives a restart.
   void StoreDrainMark(const DrainMark& mark, TimePoint now);
   // Returns whether the store has acknowledged the latest entry.
@@ -37,7 +41,10 @@
  private:
   void CreateOwn();
   void ReadOwn();
+  void OnOwn(const std::optional<core::member::DirectoryEntry>& entry);
   void WriteOwn();
+  // Logs that an entry lost with an era is there again.
+  void ReportRewritten();
   void List();
   // Reports a failed call to the directory and logs its cause.
   void OnFailed(const core::base::Error& error);
@@ -46,6 +53,8 @@
   const HostPorts& ports_;
   core::base::EventSink emit_;
   core::member::Directory directory_;
+  // What a read in a new era has found that is to be written again.
+  core::member::EntryMatch found_ = core::member::EntryMatch::kSame;
   std::function<void(const DrainMark&)> on_drain_mark_;
 };
 
--- a/src/node/hosted_node.cc
+++ b/src/node/hosted_node.cc
@@ -83,6 +83,8 @@
     });
     ports_.set_era_hook(
         [this](core::config::StoreEra era) { config_->OnStoreEra(era); });
+    config_->SetEraHook(
+        [this](TimePoint now) { directory_->OnEraChanged(now); });
     node_->AddTickHandler([this](TimePoint now) { Tick(now); });
   }
 
--- a/tests/integration/platform/common/store.cc
+++ b/tests/integration/platform/common/store.cc
@@ -69,6 +69,12 @@
   copy_ = state_;
 }
 
+void PlatformStore::TakeCopyWithout(const std::string& kind) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copy_ = state_;
+  copy_.kinds.erase(kind);
+}
+
 void PlatformStore::RestoreCopy() {
   const std::lock_guard<std::mutex> lock(mutex_);
   state_ = copy_;
--- a/tests/integration/platform/common/store.h
+++ b/tests/integration/platform/common/store.h
@@ -32,6 +32,9 @@
   void SetAvailable(bool available);
   // Keeps a copy of the present state.
   void TakeCopy();
+  // Keeps a copy of the present state from before any object of a kind was
+  // written.
+  void TakeCopyWithout(const std::string& kind);
   // Ends the process of the store: connections end and are refused.
   void GoAway();
   // Replaces the state by the copy and begins the next era. To be called while
--- a/tests/integration/platform/older_store_test.cc
+++ b/tests/integration/platform/older_store_test.cc
@@ -3,6 +3,7 @@
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
 #include <string>
 #include <thread>
 
@@ -19,8 +20,10 @@
 // Bound for a withdrawn key, and for a change after the store has been away.
 constexpr seconds kBound{5};
 constexpr seconds kFollowTimeout{4};
+constexpr seconds kExitTimeout{20};
 constexpr int kCallsPerNode = 10;
 constexpr const char* kOldService = "lots";
+constexpr const char* kNodeEntries = "dogwoodrail-nodes";
 
 // Two nodes of each of two services, and the store.
 class OlderStoreFixture {
@@ -193,6 +196,33 @@
   BOOST_TEST(it.Follows(3));
 }
 
+// Nodes did not write their entries again. One that started later stayed alone,
+// refused requests for the services of others and granted whole rates.
+BOOST_AUTO_TEST_CASE(
+    node_that_starts_after_the_loss_of_all_entries_finds_the_others) {
+  OlderStoreFixture it("older_store_entries");
+  it.fleet.store().TakeCopyWithout(kNodeEntries);
+  it.Drill([&] { it.Put(it.MovedConfig(3)); });
+  BOOST_TEST(it.Follows(3));
+  BOOST_TEST(WaitUntil(kBound, [&] {
+    return it.fleet.store().Count(kNodeEntries) == it.fleet.size();
+  }));
+  for (std::size_t node = 0; node < it.fleet.size(); ++node) {
+    const std::string line = it.fleet.WaitLogLine(
+        node, "directory_entry_rewritten", "found=missing");
+    BOOST_TEST(!line.empty());
+  }
+  // The last node that started: the others have not listed it.
+  const std::size_t last = it.fleet.size() - 1;
+  it.fleet.node(last).SendSignal(SIGTERM);
+  BOOST_TEST(it.fleet.node(last).WaitExit(kExitTimeout).has_value());
+  it.fleet.StartNode(last);
+  // Only others have an instance of the service.
+  BOOST_TEST(WaitUntil(kBound, [&] {
+    return it.fleet.Send(last, "GET", "/read/found").status == 200;
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace dogwoodrail::integration
