Proposal: an era learned elsewhere ends the delay of watching nodes only

While the store is away, the nodes without a reader stand in for it, each with a growing delay. The era, which the first node to read passes on, ended the delay of all of them at once.

--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -119,11 +119,13 @@
   position_at_ = now;
 }
 
+// A node that watches reads at once. Others are told by those that do; all of
+// them at once would be more calls than the store can take.
 void ConfigFollower::OnEra(StoreEra era, base::TimePoint now) {
   era_ = era;
   if (!position_ || position_->era == era) return;
   position_.reset();
-  next_at_ = std::min(next_at_, now);
+  if (use_ == StoreUse::kWatch) next_at_ = std::min(next_at_, now);
 }
 
 void ConfigFollower::Confirm(base::TimePoint time, ConfirmSource source) {
--- a/tests/unit/config/follower_test.cc
+++ b/tests/unit/config/follower_test.cc
@@ -272,6 +272,23 @@
   RequireRead(follower, learned);
 }
 
+// A node that stands in for the readers will be told by them. All of them at
+// once would be more calls than the store can take.
+BOOST_AUTO_TEST_CASE(era_learned_elsewhere_leaves_the_delay_of_a_stand_in) {
+  ConfigFollower follower = MakeInEra(1);
+  const auto watch = follower.Next(StoreUse::kStandInWatch, At(kWatched));
+  BOOST_REQUIRE(watch.has_value());
+  follower.OnResult(watch->id, FollowResult::kFailed, {}, At(kWatched));
+  const base::Duration learned = kWatched + milliseconds(1);
+  follower.OnEra(StoreEra(2), At(learned));
+  BOOST_TEST(!follower.Next(StoreUse::kStandInWatch, At(learned)).has_value());
+  const auto longest = FollowSettings().stand_in_retry_max;
+  const auto read =
+      follower.Next(StoreUse::kStandInWatch, At(learned + longest));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(!read->watch);
+}
+
 BOOST_AUTO_TEST_CASE(era_that_is_known_changes_nothing) {
   ConfigFollower follower = MakeInEra(2);
   RequireCall(follower, kWatched);
