Virtual-time drills: the store comes back from an older copy

The relay's simulation learns the drill: a copy, a return from it in the next era, revisions given out again, 410 for a revision that the store lacks, and writes by the operator. A failed call states no era any more, and what is on its way to a process that is started again is lost with its connections. The check of withdrawn keys counts each version from its first acknowledgement, also if the store has lost it. RelayFleet moves to a header of its own, unchanged.

--- a/tests/unit/spread/proof_relay_test.cc
+++ b/tests/unit/spread/proof_relay_test.cc
@@ -3,69 +3,13 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "tests/unit/spread/relay_simulation.h"
+#include "tests/unit/spread/relay_fleet.h"
 
 using namespace std::chrono_literals;        // NOLINT
 using namespace dogwoodrail::tests::spread;  // NOLINT
 
 namespace dogwoodrail::tests::spread {
 
-constexpr std::uint64_t kRelaySeeds[] = {1, 2, 3};
-constexpr std::size_t kZones = 5;
-constexpr std::size_t kNodes = 95;
-// Bounds that the users state: a change is in force, a withdrawn key is gone.
-constexpr base::Duration kApplyBound = 2s;
-constexpr base::Duration kRevokeBound = 5s;
-
-// Fleet in which each node has the first configuration and its place.
-struct RelayFleet : RelaySimulation {
-  explicit RelayFleet(std::uint64_t seed, std::size_t nodes = kNodes,
-                      std::size_t zones = kZones)
-      : RelaySimulation(seed, zones, nodes) {
-    BOOST_TEST_MESSAGE("seed " << seed << " nodes " << nodes);
-    Publish();
-    Run(4s);
-    BOOST_TEST(AllHave(1));
-    ResetCounters();
-  }
-  ~RelayFleet() { BOOST_TEST(!AnyReverted()); }
-
-  // Runs for a time during which every running node has to stay fresh.
-  void RunFresh(base::Duration time) {
-    const base::TimePoint end = now() + time;
-    std::size_t stale_steps = 0;
-    while (now() < end) {
-      Run(kStep);
-      if (!AllFresh()) ++stale_steps;
-    }
-    BOOST_TEST(stale_steps == 0U);
-  }
-  // Runs until some time after a change; no node may admit by the older
-  // configuration past the bound of withdrawn keys.
-  void RunRevoked(base::Duration time) {
-    const base::TimePoint end = now() + time;
-    std::size_t late_steps = 0;
-    while (now() < end) {
-      Run(kStep);
-      if (AnyAdmitsWithdrawnKey(kRevokeBound)) ++late_steps;
-    }
-    BOOST_TEST(late_steps == 0U);
-  }
-  // Returns true if every node that the store serves has the number.
-  bool AllServedHave(std::uint64_t number) {
-    for (std::size_t n = 0; n < size(); ++n) {
-      const bool served =
-          !(store_cut && store_cut(n)) && !(store_silent && store_silent(n));
-      const bool has = (*this)[n].relay->in_force().value() == number;
-      if (served && !has) return false;
-    }
-    return true;
-  }
-  void Kill(const std::vector<std::size_t>& nodes) {
-    for (const std::size_t n : nodes) RelaySimulation::Kill(n);
-  }
-};
-
 // Returns the view of a node that has one source.
 inline RelayView MakeView(const base::NodeAddress& source) {
   RelayView view;
--- a/tests/unit/spread/relay_simulation.h
+++ b/tests/unit/spread/relay_simulation.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,8 +48,16 @@
     bool reverted = false;       // the number in force decreased
     std::uint64_t admitted = 0;  // number in force at the last step
     std::size_t store_calls = 0;
+    std::size_t worst_second = 0;
+    std::deque<base::TimePoint> call_times;
     std::vector<StoreCall> calls;
   };
+  // State that the store may come back from.
+  struct StoreState {
+    std::uint64_t head = 0;      // number of the configuration
+    std::uint64_t revision = 1;  // of the last write
+    std::uint64_t changed = 0;   // revision of the configuration
+  };
 
   RelaySimulation(std::uint64_t seed, std::size_t zones, std::size_t nodes)
       : seed_(seed), random_(seed), nodes_(nodes) {
@@ -63,9 +72,15 @@
     }
   }
 
-  // Starts or restarts a node without any state.
+  // Starts or restarts a node without any state. What was on its way to the
+  // earlier process is lost with its connections.
   void Restart(std::size_t n) {
     Node& node = nodes_[n];
+    const auto to_earlier = [n](const Message& it) { return it.to == n; };
+    messages_in_flight_.erase(
+        std::remove_if(messages_in_flight_.begin(), messages_in_flight_.end(),
+                       to_earlier),
+        messages_in_flight_.end());
     const RelaySettings& settings = this->settings;
     node.relay = std::make_unique<ProofRelay>(
         settings, follow, [](const Snapshot&) { return true; },
@@ -84,13 +99,26 @@
   }
 
   // Accepts a new configuration at the store.
-  void Publish() {
-    ++head_;
-    ++revision_;
-    published_at_ = now_;
+  void Publish() { Publish(state_.head + 1); }
+  // Accepts the configuration `number`, new or written again after a loss.
+  void Publish(std::uint64_t number) {
+    state_.head = number;
+    state_.changed = ++state_.revision;
+    published_at_.try_emplace(number, now_);
+  }
+  // Accepts a write of another kind of object.
+  void WriteOther() { ++state_.revision; }
+  std::uint64_t head() const { return state_.head; }
+  std::uint64_t revision() const { return state_.revision; }
+
+  // Keeps a copy of the store's state.
+  void TakeCopy() { copy_ = state_; }
+  // Replaces the store's state by the copy and begins the next era: what was
+  // accepted since is lost, and its revisions are given out again.
+  void RestoreCopy() {
+    state_ = copy_;
+    era_ = config::StoreEra(era_.value() + 1);
   }
-  std::uint64_t head() const { return head_; }
-  base::TimePoint published_at() const { return published_at_; }
 
   void Run(base::Duration time) {
     const base::TimePoint end = now_ + time;
@@ -116,13 +144,15 @@
   bool AllFresh() const {
     return All([&](std::size_t n) { return nodes_[n].relay->IsFresh(now_); });
   }
-  // Returns true if any node admits keys of a configuration other than the
-  // newest one longer than `bound` after it was published.
+  // Returns true if any node admits keys by a configuration longer than `bound`
+  // after a newer one was published, also one that the store has lost since.
   bool AnyAdmitsWithdrawnKey(base::Duration bound) const {
-    if (now_ - published_at_ <= bound) return false;
     for (const Node& it : nodes_) {
       if (it.gone) continue;
-      const bool old = it.relay->in_force().value() < head_;
+      const auto newer =
+          published_at_.upper_bound(it.relay->in_force().value());
+      const bool old =
+          newer != published_at_.end() && now_ - newer->second > bound;
       if (old && it.relay->IsFresh(now_)) return true;
     }
     return false;
@@ -142,11 +172,21 @@
   std::size_t messages() const { return messages_; }
   // Largest number of store calls within one second, since the last reset.
   std::size_t worst_second() const { return worst_second_; }
+  // As before, of the node with the most.
+  std::size_t worst_second_of_a_node() const {
+    std::size_t worst = 0;
+    for (const Node& it : nodes_) worst = std::max(worst, it.worst_second);
+    return worst;
+  }
   void ResetCounters() {
     store_calls_ = 0;
     messages_ = 0;
     worst_second_ = 0;
     call_times_.clear();
+    for (Node& it : nodes_) {
+      it.worst_second = 0;
+      it.call_times.clear();
+    }
   }
 
   Node& operator[](std::size_t n) { return nodes_[n]; }
@@ -252,16 +292,17 @@
     if (!actions.store_call) return;
     ++store_calls_;
     ++nodes_[n].store_calls;
-    CountCall();
+    CountCall(&call_times_, &worst_second_);
+    CountCall(&nodes_[n].call_times, &nodes_[n].worst_second);
     nodes_[n].calls.push_back({*actions.store_call, now_ + kPathTime});
   }
 
-  void CountCall() {
-    call_times_.push_back(now_);
-    while (now_ - call_times_.front() > std::chrono::seconds(1)) {
-      call_times_.pop_front();
+  void CountCall(std::deque<base::TimePoint>* times, std::size_t* worst) {
+    times->push_back(now_);
+    while (now_ - times->front() > std::chrono::seconds(1)) {
+      times->pop_front();
     }
-    worst_second_ = std::max(worst_second_, call_times_.size());
+    *worst = std::max(*worst, times->size());
   }
 
   void Send(std::size_t from, const base::NodeAddress& to,
@@ -310,28 +351,42 @@
     if (now_ < open->arrives) return false;
     open->is_lost |= store_silent && store_silent(n);
     const base::Duration taken = now_ - open->arrives;
+    const std::uint64_t after = call.after.revision.value();
     if (open->is_lost && taken < call.wait + kStoreTimeout) return false;
     const bool failed =
         open->is_lost || store_down || (store_cut && store_cut(n));
-    const bool changed = call.watch && call.after.revision.value() < revision_;
-    const bool over = taken >= call.wait;
-    if (!failed && call.watch && !changed && !over) return false;
+    const bool lacks = call.watch && state_.revision < after;
+    const bool changed = call.watch && after < state_.changed;
+    const bool waits = call.watch && !lacks && !changed && taken < call.wait;
+    if (!failed && waits) return false;
     config::FollowResult result = config::FollowResult::kRead;
     if (call.watch) {
       result = changed ? config::FollowResult::kChanged
                        : config::FollowResult::kUnchanged;
     }
+    if (lacks) result = config::FollowResult::kHistoryGone;
     if (failed) result = config::FollowResult::kFailed;
-    const bool has_config =
-        !failed && head_ != 0 && result != config::FollowResult::kUnchanged;
-    std::optional<Snapshot> snapshot;
-    if (has_config) snapshot = Snapshot{base::TicketNumber(head_), "body"};
-    Execute(n, nodes_[n].relay->OnStoreResult(
-                   call.id, result, {era_, config::StoreRevision(revision_)},
-                   snapshot, now_));
+    Respond(n, call.id, result);
     return true;
   }
 
+  // Sends the result of a call, with the configuration if it has one.
+  void Respond(std::size_t n, std::uint64_t call, config::FollowResult result) {
+    const bool has_config = result == config::FollowResult::kRead ||
+                            result == config::FollowResult::kChanged;
+    config::StorePosition position;
+    if (result != config::FollowResult::kFailed) position.era = era_;
+    if (has_config || result == config::FollowResult::kUnchanged) {
+      position.revision = config::StoreRevision(state_.revision);
+    }
+    std::optional<Snapshot> snapshot;
+    if (has_config && state_.head != 0) {
+      snapshot = Snapshot{base::TicketNumber(state_.head), "body"};
+    }
+    Execute(n, nodes_[n].relay->OnStoreResult(call, result, position, snapshot,
+                                              now_));
+  }
+
   std::uint64_t seed_;
   base::Random random_;
   std::vector<Node> nodes_;
@@ -339,11 +394,12 @@
   member::MemberStore members_;
   std::uint64_t version_ = 0;
   std::uint64_t starts_ = 0;
-  std::uint64_t head_ = 0;
-  std::uint64_t revision_ = 1;
+  StoreState state_;
+  StoreState copy_;
   config::StoreEra era_{1};
   base::TimePoint now_ = base::TimePoint(std::chrono::seconds(100));
-  base::TimePoint published_at_;
+  // First time at which the store accepted a number, also if it lost it.
+  std::map<std::uint64_t, base::TimePoint> published_at_;
   std::vector<Message> messages_in_flight_;
   std::deque<Death> deaths_;
   std::deque<base::TimePoint> call_times_;
