Soak: the store comes back from an older copy

A fault kind of the platform's adapter, older_store: the store keeps a copy, takes a change, is away for 1 s, comes back from the copy, and the operator writes the lost configuration again and a newer one. What the operator changes while the store is away waits for its return.

--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -26,6 +26,7 @@
   return fleet.directory + "/node-" + std::to_string(vm) + ".ini";
 }
 
+constexpr milliseconds kStoreAway{1000};
 constexpr int kCrashSends = 4;
 constexpr milliseconds kCrashInterval{700};
 constexpr std::size_t kMaxCrashConnections = 16;
@@ -121,6 +122,8 @@
     case FaultKind::kCutHead:
     case FaultKind::kSoundAnswers:
       return fleet_.play_own(fault);
+    case FaultKind::kOlderStore:
+      return LoseWrites(fault);
     default:
       return BeginSignals(fault);
   }
@@ -193,6 +196,20 @@
   });
 }
 
+// One at a time, as there is one store.
+void FaultPlayer::LoseWrites(const Fault& fault) {
+  if (loses_writes_) return;
+  loses_writes_ = true;
+  fleet_.play_store(StoreStep::kCopy);
+  Later(fault.gap, [this] { fleet_.play_store(StoreStep::kLeave); });
+  Later(fault.gap + kStoreAway,
+        [this] { fleet_.play_store(StoreStep::kReturn); });
+  Later(2 * fault.gap + kStoreAway, [this] {
+    fleet_.play_store(StoreStep::kWriteAgain);
+    loses_writes_ = false;
+  });
+}
+
 // A process that has just been started ends by a signal's default action until
 // it has handlers, which are in place before it listens or writes a line.
 bool FaultPlayer::EndedBeforeHandlers(std::size_t vm, int status) const {
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -53,6 +53,8 @@
   void Later(std::chrono::milliseconds delay, std::function<void()> run);
   void SendSignal(std::size_t vm, int signal);
   void SendCrashRequest(std::size_t vm);
+  // Plays the steps of kOlderStore.
+  void LoseWrites(const Fault& fault);
   void WriteSettings(std::size_t vm, const std::string& more);
   void Kill(const Fault& fault);
   void Pause(const Fault& fault);
@@ -64,6 +66,7 @@
   std::vector<Fault> faults_;
   std::size_t next_ = 0;
   std::chrono::milliseconds max_delay_{0};
+  bool loses_writes_ = false;  // a kOlderStore is being played
   std::vector<Step> steps_;
   std::vector<VmState> states_;
   // Connections of requests whose answers nobody waits for.
--- a/soak/fault_type.h
+++ b/soak/fault_type.h
@@ -30,9 +30,18 @@
   kRepeatedRefusal,  // the backend server writes refusals once more
   kCutHead,          // the backend server stops within the head of its answer
   kSoundAnswers,     // the backend server answers as it should again
+  kOlderStore,       // the store is away, then comes back from an older copy
   kCount,
 };
 
+// Steps of kOlderStore.
+enum class StoreStep : std::uint8_t {
+  kCopy,        // keeps a copy, then takes a change that is not in it
+  kLeave,       // the store goes away
+  kReturn,      // it comes back from the copy
+  kWriteAgain,  // the operator writes what is lost, and a change
+};
+
 // One fault of a schedule.
 struct Fault {
   FaultKind kind = FaultKind::kStop;
--- a/soak/platform_fleet.cc
+++ b/soak/platform_fleet.cc
@@ -107,14 +107,39 @@
     }
   }
 
+  // A change while the store is away waits for its return.
   void ChangeConfig() {
-    fleet_->store().Put("config", "main", fleet_->ConfigText(++version_));
+    ++version_;
+    if (!away_) PutConfig();
+  }
+  void PlayStore(StoreStep step) {
+    switch (step) {
+      case StoreStep::kCopy:
+        fleet_->store().TakeCopy();
+        ChangeConfig();
+        // The change that follows may get the revision of this.
+        return fleet_->store().Put("notes", "of-another-writer", "{}");
+      case StoreStep::kLeave:
+        away_ = true;
+        return fleet_->store().GoAway();
+      case StoreStep::kReturn:
+        fleet_->store().RestoreCopy();
+        fleet_->store().Return();
+        away_ = false;
+        return;
+      case StoreStep::kWriteAgain:
+        PutConfig();
+        return ChangeConfig();
+    }
   }
   bool Follows(std::size_t vm) const {
     return fleet_->Metric(vm, "dogwoodrail_configuration_number") == version_;
   }
 
  private:
+  void PutConfig() {
+    fleet_->store().Put("config", "main", fleet_->ConfigText(version_));
+  }
   void PutOddEntry() {
     const std::string name = "odd-" + std::to_string(odd_entries_);
     const std::string spec = OddSpec(odd_entries_++);
@@ -124,6 +149,7 @@
 
   std::shared_ptr<PlatformFleet> fleet_;
   std::uint32_t version_ = 1;
+  bool away_ = false;  // the store
   std::size_t odd_entries_ = 0;
 };
 
@@ -150,6 +176,7 @@
     return faults->Follows(vm);
   };
   soak.play_own = [faults](const Fault& fault) { faults->Play(fault); };
+  soak.play_store = [faults](StoreStep step) { faults->PlayStore(step); };
   soak.make_request = [fleet](bool idempotent, const std::string& request) {
     return idempotent
                ? fleet->MakeRequest("GET", "/read/" + request)
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -20,7 +20,7 @@
            "reload_twice",  "reload_stop",   "settings",    "bad_settings",
            "settings_only", "tickets",       "kill",        "backend_leaves",
            "pause",         "crash_request", "odd_entry",   "repeated_refusal",
-           "cut_head",      "sound_answers"};
+           "cut_head",      "sound_answers", "older_store"};
 
 // The distributions of the standard library differ between its makers, so that
 // numbers are drawn by modulo.
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -42,6 +42,8 @@
   std::function<bool(std::size_t vm)> follows_config;
   // Plays a fault that this fleet alone can meet.
   std::function<void(const Fault&)> play_own;
+  // Plays a step of kOlderStore, if this fleet can.
+  std::function<void(StoreStep)> play_store;
 
   // Makes a request with a name that no other has.
   std::function<integration::RawRequest(bool idempotent,
