Read anew after an answer of a lower revision, also without an era

A store that states no era can have come back from an older copy, too: an answer of a watch whose revision is below that asked from proves it. It confirms nothing and leads to a read. A node without a position does not count as watching, so that it says so to others only after it has read.

--- a/src/core/config/config_follower.cc
+++ b/src/core/config/config_follower.cc
@@ -65,7 +65,7 @@
 
 bool ConfigFollower::IsWatching(base::TimePoint now) const {
   const base::Duration longest = settings_.watch_wait + response_time_;
-  return answered_id_ != 0 && failures_ == 0 && now - answered_at_ <= longest;
+  return position_ && failures_ == 0 && now - answered_at_ <= longest;
 }
 
 std::optional<ConfigFollower::OpenCall> ConfigFollower::TakeCall(
@@ -95,7 +95,12 @@
   next_at_ = now;
   const bool is_late = IsOfOlderEra(position);
   if (!is_late) era_ = position.era;
-  if (result == FollowResult::kHistoryGone || IsOfOtherEra(open->call)) {
+  // A store that states no era shows its return by a lower revision.
+  const bool went_back =
+      open->call.watch && position.revision < open->call.after.revision;
+  const bool is_useless = result == FollowResult::kHistoryGone || went_back ||
+                          IsOfOtherEra(open->call);
+  if (is_useless) {
     position_.reset();
     return;
   }
--- a/tests/unit/config/follower_test.cc
+++ b/tests/unit/config/follower_test.cc
@@ -198,6 +198,21 @@
   BOOST_TEST(!follower.IsFresh(At(seconds(3))));
 }
 
+// A store that states no era shows its return by a revision that goes back.
+BOOST_AUTO_TEST_CASE(lower_revision_without_an_era_is_read_anew) {
+  ConfigFollower follower = MakeStarted();
+  const auto watch = follower.Next(StoreUse::kWatch, At(seconds(2)));
+  BOOST_REQUIRE(watch.has_value());
+  const base::TimePoint answered = At(seconds(2) + milliseconds(5));
+  follower.OnResult(watch->id, FollowResult::kChanged, {{}, StoreRevision(6)},
+                    answered);
+  BOOST_TEST(!follower.IsWatching(answered));
+  BOOST_TEST(!follower.IsFresh(At(seconds(5))));
+  const auto read = follower.Next(StoreUse::kWatch, answered);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(!read->watch);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_fresh_before_the_first_response) {
   ConfigFollower follower(FollowSettings(), 1);
   BOOST_TEST(!follower.IsFresh(At(milliseconds(1))));
