Start comparison: several answers are wanted, and a node that is behind waits

- A process that stood still after its first read found the time of the comparison over, without an answer.
That time begins anew after a pause, and three nodes (or all known ones) must have answered for it to end early.
- A node whose own comparison had ended by its timeout told others that it could be relied on.
It does so now once compared, or 3 s after its start.
One that has an older configuration than the asker counts as no witness.
- A start that ended behind another node's number admitted keys by the first read; keys wait now until it has caught up.
- Behind, a node took no confirmation of the store but those of other nodes.
Neither counts now.
A number that no node has stated for 30 s is forgotten, so that the loss of all nodes that had it cannot refuse keys for good.
- A question at the start made the asker a subscriber of changes for 3 s.

unit_spread:proof_relay/start_* and node_that_is_behind_takes_no_confirmation are new.

--- a/src/core/spread/proof_relay.cc
+++ b/src/core/spread/proof_relay.cc
@@ -34,9 +34,11 @@
   RelayActions actions;
   if (now - last_tick_ > kMaxTickGap) {
     for (auto& [address, source] : sources_) source.sent_at = now;
+    others_known_at_.reset();
   }
   last_tick_ = now;
   snapshot_bytes_left_ = settings_.snapshot_bytes_per_tick;
+  ForgetUnseenNumber(now);
   ExcludeSilentSources(now);
   UpdateSources(view);
   UpdateWatched(view, now);
@@ -104,8 +106,9 @@
 void ProofRelay::SendStartQueries(const RelayView& view, base::TimePoint now,
                                   RelayActions* actions) {
   if (settled_ || in_force() == base::TicketNumber()) return;
-  if (view.others_known && !others_known_at_) others_known_at_ = now;
-  settled_ = IsStartOver(now);
+  if (view.others > 0 && !others_known_at_) others_known_at_ = now;
+  settled_ = IsStartOver(view, now);
+  opened_behind_ = settled_ && IsBehind();
   if (settled_ || now < next_start_query_) return;
   next_start_query_ = now + settings_.start_query_interval;
   for (const base::NodeAddress& it : view.witnesses) {
@@ -113,12 +116,36 @@
   }
 }
 
-bool ProofRelay::IsStartOver(base::TimePoint now) const {
+bool ProofRelay::IsStartOver(const RelayView& view, base::TimePoint now) const {
   if (now - started_at_ >= settings_.longest_start) return true;
   const bool asked =
       others_known_at_ &&
       now - std::max(*others_known_at_, started_at_) >= settings_.start_timeout;
-  return asked && !IsBehind();
+  const std::size_t wanted = std::min(settings_.start_answers, view.others);
+  return asked && start_answers_.size() >= wanted && !IsBehind();
+}
+
+void ProofRelay::CompareStart(const base::NodeAddress& peer,
+                              const PeerAnswer& answer) {
+  if (settled_ || in_force() == base::TicketNumber()) return;
+  start_answers_.insert(peer);
+  // One that has an older configuration knows less than this node.
+  compared_ = answer.settled && !IsBehind() && !(answer.in_force < in_force());
+  settled_ = compared_;
+}
+
+// A node that was itself opened by its timeout may know as little as the one
+// that asks.
+bool ProofRelay::IsWitness(base::TimePoint now) const {
+  return settled_ &&
+         (compared_ || now - started_at_ >= settings_.longest_start);
+}
+
+// The nodes that had it may be gone, and the store may have lost it. Without a
+// limit, the others would refuse keys until the operator writes again.
+void ProofRelay::ForgetUnseenNumber(base::TimePoint now) {
+  const bool is_unseen = now - highest_stated_at_ > settings_.max_unseen;
+  if (IsBehind() && is_unseen) highest_seen_ = in_force();
 }
 
 void ProofRelay::SendChanges(base::TimePoint now, RelayActions* actions) {
@@ -150,7 +177,7 @@
   answer.in_force = in_force();
   answer.watched = watched_;
   answer.store_era = era_.era();
-  answer.settled = settled_;
+  answer.settled = IsWitness(now);
   const auto confirmed_at = follower_.confirmed_at();
   if (confirmed_at && now >= *confirmed_at) {
     answer.confirmed_age = now - *confirmed_at;
@@ -213,13 +240,15 @@
 
 RelayActions ProofRelay::OnQuery(const base::NodeAddress& peer,
                                  const PeerQuery& query, base::TimePoint now) {
-  Subscriber& subscriber = subscribers_[peer];
+  Subscriber subscriber;
   subscriber.expires = now + settings_.subscription_time;
   subscriber.known = query.after;
   subscriber.announced = in_force();
   subscriber.told_watched = watched_;
   PeerAnswer answer = MakeAnswer(query.sequence, now);
   AddSnapshot(&subscriber, &answer);
+  // A node that asks once, at its start, is not told of changes.
+  if (query.sequence != 0) subscribers_[peer] = subscriber;
   RelayActions actions;
   actions.answers.push_back({peer, std::move(answer)});
   OnPeerNumber(query.after, now);
@@ -239,10 +268,7 @@
                                   base::TimePoint now) {
   RelayActions actions = OnStoreEra(answer.store_era, now);
   LearnFrom(answer, now, &actions);
-  const bool started = in_force() != base::TicketNumber();
-  const bool compared = started && answer.settled && !IsBehind();
-  compared_ = compared_ || (compared && !settled_);
-  settled_ = settled_ || compared;
+  CompareStart(peer, answer);
   const auto it = sources_.find(peer);
   if (it == sources_.end()) return actions;
   Source& source = it->second;
@@ -252,7 +278,8 @@
   }
   source.sequence = 0;
   last_heard_ = now;
-  if (answer.confirmed_age && answer.in_force == in_force()) {
+  const bool confirms = answer.in_force == in_force() && !IsBehind();
+  if (answer.confirmed_age && confirms) {
     follower_.ConfirmByPeer(source.sent_at - *answer.confirmed_age);
   }
   return actions;
@@ -270,7 +297,9 @@
 }
 
 void ProofRelay::OnPeerNumber(base::TicketNumber number, base::TimePoint now) {
-  if (!(highest_seen_ < number)) return;
+  if (number < highest_seen_) return;
+  highest_stated_at_ = now;
+  if (number == highest_seen_) return;
   highest_seen_ = number;
   highest_seen_at_ = now;
 }
--- a/src/core/spread/proof_relay.h
+++ b/src/core/spread/proof_relay.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/base/random_type.h"
@@ -71,10 +72,11 @@
 
   // Returns true if requests with a key may be admitted.
   bool IsFresh(base::TimePoint now) const {
-    return settled_ && follower_.IsFresh(now);
+    const bool is_outdated = opened_behind_ && IsBehind();
+    return settled_ && !is_outdated && follower_.IsFresh(now);
   }
   // Returns true once the first configuration has been compared with those of
-  // other nodes, or none of them could be asked.
+  // other nodes, or the time for that is over.
   bool is_settled() const { return settled_; }
   // Returns whether another node ended the comparison, not its timeout.
   bool compared_with_peer() const { return compared_; }
@@ -121,7 +123,13 @@
   void SendStartQueries(const RelayView& view, base::TimePoint now,
                         RelayActions* actions);
   // Returns true if the time to compare the first configuration is over.
-  bool IsStartOver(base::TimePoint now) const;
+  bool IsStartOver(const RelayView& view, base::TimePoint now) const;
+  // Counts an answer towards the comparison at the start.
+  void CompareStart(const base::NodeAddress& peer, const PeerAnswer& answer);
+  // Returns true if this node can tell a starting one that nothing is newer.
+  bool IsWitness(base::TimePoint now) const;
+  // Forgets a number that no node has stated for a long time.
+  void ForgetUnseenNumber(base::TimePoint now);
   // Takes a configuration and a number from another node.
   void LearnFrom(const PeerAnswer& answer, base::TimePoint now,
                  RelayActions* actions);
@@ -150,8 +158,10 @@
   Snapshot snapshot_;
   bool settled_ = false;
   bool compared_ = false;
+  bool opened_behind_ = false;  // settled while another node had a newer one
   base::TimePoint started_at_;  // time of the first configuration
   std::optional<base::TimePoint> others_known_at_;
+  std::unordered_set<base::NodeAddress> start_answers_;  // nodes that answered
   base::TimePoint next_start_query_;
 
   std::map<base::NodeAddress, Source> sources_;
@@ -166,6 +176,7 @@
   base::TimePoint sources_watched_at_;  // last time that one told so
   base::TicketNumber highest_seen_;
   base::TimePoint highest_seen_at_;
+  base::TimePoint highest_stated_at_;  // last time that a node stated it
   base::Duration jitter_;
   std::size_t snapshot_bytes_left_;
 };
--- a/src/core/spread/spread_type.h
+++ b/src/core/spread/spread_type.h
@@ -116,8 +116,7 @@
   std::vector<base::NodeAddress> sources;  // nodes to query
   // Some other nodes, to be asked by a node that has just started.
   std::vector<base::NodeAddress> witnesses;
-  // Other nodes are known, so that the witnesses can be asked.
-  bool others_known = false;
+  std::size_t others = 0;  // number of live nodes known, without this one
 };
 
 // Settings of the relay of configuration confirmations.
@@ -144,14 +143,18 @@
   base::Duration jitter = std::chrono::milliseconds(200);
   // A node that queried within this time is told of changes.
   base::Duration subscription_time = std::chrono::seconds(3);
-  // A node that has just started asks its sources and some other nodes this
-  // often for a newer configuration than the store's, until one that has run
-  // for a while has answered: at most for start_timeout after it knows others,
-  // or for longest_start after its first configuration.
+  // A node that has just started asks some other nodes this often for a newer
+  // configuration than the store's, until one that has run for a while has
+  // answered. It stops start_timeout after it knows others, if start_answers of
+  // them have answered, or longest_start after its first configuration.
   base::Duration start_query_interval = std::chrono::milliseconds(100);
   base::Duration start_timeout = std::chrono::milliseconds(500);
   base::Duration longest_start = std::chrono::seconds(3);
   std::size_t start_witnesses = 4;
+  std::size_t start_answers = 3;
+  // A higher number than that in force is forgotten if no node has stated it
+  // for this long.
+  base::Duration max_unseen = std::chrono::seconds(30);
   // Nodes of a zone that one node answers.
   std::size_t fanout = 100;
   // Limit on the configurations sent in one tick.
--- a/src/node/config_follow_system.cc
+++ b/src/node/config_follow_system.cc
@@ -22,6 +22,7 @@
 
 constexpr std::chrono::milliseconds kRunInterval(20);
 constexpr std::chrono::milliseconds kViewInterval(500);
+constexpr std::chrono::milliseconds kStartViewInterval(40);
 
 template <typename Number>
 std::string NumberText(Number number) {
@@ -111,13 +112,13 @@
   if (now < next_view_update_) return;
   const bool is_starting =
       !relay_.is_settled() && relay_.in_force() != core::base::TicketNumber();
-  if (!is_starting) next_view_update_ = now + kViewInterval;
+  next_view_update_ = now + (is_starting ? kStartViewInterval : kViewInterval);
   const core::member::MemberTable& members = node_.members().table();
   view_ = spread::MakeRelayView(
       members.store(), members.self(), settings_,
       [this](const NodeAddress& it) { return relay_.IsExcluded(it); });
   if (!is_starting) return;
-  view_.others_known = members.live_count() > 1;
+  view_.others = std::max<std::size_t>(members.live_count(), 1) - 1;
   view_.witnesses = spread::ChooseWitnesses(
       members.store(), members.self(), settings_.start_witnesses, &random_);
 }
--- a/tests/integration/platform/older_store_test.cc
+++ b/tests/integration/platform/older_store_test.cc
@@ -22,6 +22,7 @@
 constexpr seconds kFollowTimeout{4};
 constexpr seconds kExitTimeout{20};
 constexpr int kCallsPerNode = 10;
+constexpr std::size_t kCalls = 40;  // to all four nodes
 constexpr const char* kOldService = "lots";
 constexpr const char* kNodeEntries = "dogwoodrail-nodes";
 
@@ -114,6 +115,12 @@
            fleet.instance(1).CountRuns(path);
   }
 
+  // Number of runs of a path by instances of the new service.
+  std::size_t CountRunsByNewService(const std::string& path) {
+    return fleet.instance(2).CountRuns(path) +
+           fleet.instance(3).CountRuns(path);
+  }
+
   PlatformFleet fleet;
 };
 
@@ -128,6 +135,7 @@
   it.LoseTwoRevisions(it.MovedConfig(4));
   std::this_thread::sleep_for(kBound);
   BOOST_TEST(it.CountRunsByOldService("/write/late", "test-key-1") == 0U);
+  BOOST_TEST(it.CountRunsByNewService("/write/late") == kCalls);
   BOOST_TEST(it.Follows(4));
 }
 
@@ -136,6 +144,7 @@
   it.LoseTwoRevisions(it.WithdrawnConfig(4));
   std::this_thread::sleep_for(kBound);
   BOOST_TEST(it.CountRunsByOldService("/write/late", "test-key-2") == 0U);
+  BOOST_TEST(it.CountRunsByOldService("/write/valid", "test-key-1") == kCalls);
   BOOST_TEST(it.Follows(4));
 }
 
@@ -148,6 +157,7 @@
   });
   std::this_thread::sleep_for(kBound);
   BOOST_TEST(it.CountRunsByOldService("/write/late", "test-key-1") == 0U);
+  BOOST_TEST(it.CountRunsByNewService("/write/late") == kCalls);
   BOOST_TEST(it.Follows(5));
 }
 
--- a/tests/unit/spread/proof_relay_test.cc
+++ b/tests/unit/spread/proof_relay_test.cc
@@ -257,6 +257,127 @@
   BOOST_TEST((relay.Age(start + 1800ms) == 1s));
 }
 
+// Node with one source that has just read its first configuration, number 3.
+struct StartedRelay {
+  explicit StartedRelay(std::size_t others = 1) {
+    view.sources = {source};
+    view.witnesses = {source};
+    view.others = others;
+    relay.Tick(view, start);
+    relay.OnStoreResult(1, config::FollowResult::kRead,
+                        {{}, config::StoreRevision(1)},
+                        Snapshot{base::TicketNumber(3), "body"}, start);
+  }
+  // Runs the timers for a time, in which the store answers nothing; returns the
+  // end of it.
+  base::TimePoint Run(base::TimePoint from, base::Duration time) {
+    base::TimePoint now = from;
+    for (; now < from + time; now += 20ms) {
+      const auto call = relay.Tick(view, now).store_call;
+      if (!call) continue;
+      relay.OnStoreResult(call->id, config::FollowResult::kFailed, {},
+                          std::nullopt, now);
+    }
+    return now;
+  }
+  // Hands over an answer of a node, unasked.
+  void Hear(const base::NodeAddress& peer, std::uint64_t number, bool settled,
+            base::TimePoint now) {
+    PeerAnswer answer;
+    answer.in_force = base::TicketNumber(number);
+    answer.settled = settled;
+    relay.OnAnswer(peer, answer, now);
+  }
+
+  const base::NodeAddress source{"a"};
+  const base::TimePoint start{100s};
+  RelayView view;
+  ProofRelay relay{
+      {}, config::FollowSettings(), [](const Snapshot&) { return true; }, 1};
+};
+
+BOOST_AUTO_TEST_CASE(start_ends_with_the_answer_of_a_node_that_has_run) {
+  StartedRelay node;
+  BOOST_TEST(!node.relay.IsFresh(node.start));
+  node.Hear(node.source, 2, true, node.start + 10ms);
+  BOOST_TEST(!node.relay.is_settled());  // knows less than this node
+  node.Hear(node.source, 3, false, node.start + 20ms);
+  BOOST_TEST(!node.relay.is_settled());  // has just started, too
+  node.Hear(node.source, 3, true, node.start + 30ms);
+  BOOST_TEST(node.relay.IsFresh(node.start + 30ms));
+}
+
+// Nodes that start together end their comparison without one that has run.
+BOOST_AUTO_TEST_CASE(start_ends_in_time_once_some_nodes_have_answered) {
+  StartedRelay node(2);
+  node.Run(node.start, 100ms);
+  node.Hear(node.source, 3, false, node.start + 100ms);
+  node.Run(node.start + 100ms, 600ms);
+  BOOST_TEST(!node.relay.is_settled());
+  node.Hear(base::NodeAddress("b"), 3, false, node.start + 700ms);
+  node.Run(node.start + 700ms, 40ms);
+  BOOST_TEST(node.relay.is_settled());
+}
+
+BOOST_AUTO_TEST_CASE(start_without_any_answer_ends) {
+  StartedRelay node;
+  node.Run(node.start, 2900ms);
+  BOOST_TEST(!node.relay.is_settled());
+  node.Run(node.start + 2900ms, 200ms);
+  BOOST_TEST(node.relay.is_settled());
+}
+
+// The time for which a process stood still is none in which it could ask.
+BOOST_AUTO_TEST_CASE(start_is_not_ended_by_a_pause_of_the_process) {
+  StartedRelay node;
+  node.Run(node.start, 100ms);
+  node.Hear(node.source, 3, false, node.start + 100ms);
+  node.Run(node.start + 1500ms, 100ms);
+  BOOST_TEST(!node.relay.is_settled());
+}
+
+// It has been told of a newer one that does not arrive.
+BOOST_AUTO_TEST_CASE(start_that_ends_behind_admits_no_keys) {
+  StartedRelay node;
+  node.Hear(node.source, 4, true, node.start + 10ms);
+  const base::TimePoint end = node.Run(node.start, 3100ms);
+  BOOST_TEST(node.relay.is_settled());
+  BOOST_TEST(!node.relay.IsFresh(end));
+}
+
+// A node that knows of a newer configuration took another's confirmation of
+// the older one.
+BOOST_AUTO_TEST_CASE(node_that_is_behind_takes_no_confirmation) {
+  StartedRelay node;
+  node.Hear(node.source, 3, true, node.start);
+  node.Hear(base::NodeAddress("b"), 4, true, node.start);
+  const auto actions = node.relay.Tick(node.view, node.start + 3s);
+  BOOST_REQUIRE(!actions.queries.empty());
+  PeerAnswer answer;
+  answer.sequence = actions.queries.front().query.sequence;
+  answer.in_force = base::TicketNumber(3);
+  answer.confirmed_age = 0s;
+  node.relay.OnAnswer(node.source, answer, node.start + 3s);
+  BOOST_TEST(!node.relay.IsFresh(node.start + 5s));
+}
+
+BOOST_AUTO_TEST_CASE(number_that_no_node_states_any_more_is_forgotten) {
+  StartedRelay node;
+  node.Hear(node.source, 3, true, node.start);
+  node.Hear(base::NodeAddress("b"), 4, true, node.start);
+  base::TimePoint now = node.Run(node.start, 31s);
+  std::optional<config::FollowCall> call;
+  while (!call && now < node.start + 60s) {
+    now += 20ms;
+    call = node.relay.Tick(node.view, now).store_call;
+  }
+  BOOST_REQUIRE(call.has_value());
+  node.relay.OnStoreResult(call->id, config::FollowResult::kRead,
+                           {{}, config::StoreRevision(1)},
+                           Snapshot{base::TicketNumber(3), "body"}, now);
+  BOOST_TEST(node.relay.IsFresh(now));
+}
+
 BOOST_AUTO_TEST_CASE(answer_to_no_query_confirms_nothing) {
   config::FollowSettings follow;
   ProofRelay relay(
--- a/tests/unit/spread/relay_simulation.h
+++ b/tests/unit/spread/relay_simulation.h
@@ -273,7 +273,7 @@
                                 });
       if (!node.relay->is_settled()) {
         node.next_view = now_;
-        node.view.others_known = true;
+        node.view.others = nodes_.size() - 1;
         node.view.witnesses = ChooseWitnesses(
             members_, node.self, settings.start_witnesses, &random_);
       }
