Start comparison: look for other nodes at once, and end sooner

A node looked up its place and the others to ask only with the next view, up to 0.5 s after its first configuration.

--- a/src/core/spread/spread_type.h
+++ b/src/core/spread/spread_type.h
@@ -148,7 +148,7 @@
   // answered. It stops start_timeout after it knows others, if start_answers of
   // them have answered, or longest_start after its first configuration.
   base::Duration start_query_interval = std::chrono::milliseconds(100);
-  base::Duration start_timeout = std::chrono::milliseconds(500);
+  base::Duration start_timeout = std::chrono::milliseconds(250);
   base::Duration longest_start = std::chrono::seconds(3);
   std::size_t start_witnesses = 4;
   std::size_t start_answers = 3;
--- a/src/node/config_follow_system.cc
+++ b/src/node/config_follow_system.cc
@@ -109,10 +109,11 @@
 }
 
 void ConfigFollowSystem::UpdateView(TimePoint now) {
-  if (now < next_view_update_) return;
   const bool is_starting =
       !relay_.is_settled() && relay_.in_force() != core::base::TicketNumber();
-  next_view_update_ = now + (is_starting ? kStartViewInterval : kViewInterval);
+  const auto interval = is_starting ? kStartViewInterval : kViewInterval;
+  if (now - view_updated_at_ < interval) return;
+  view_updated_at_ = now;
   const core::member::MemberTable& members = node_.members().table();
   view_ = spread::MakeRelayView(
       members.store(), members.self(), settings_,
--- a/src/node/config_follow_system.h
+++ b/src/node/config_follow_system.h
@@ -81,7 +81,7 @@
   core::spread::ProofRelay relay_;
   core::spread::RelayView view_;
   TimePoint next_run_;
-  TimePoint next_view_update_;
+  TimePoint view_updated_at_;
   // Links on which other nodes sent their last query.
   std::unordered_map<core::base::NodeAddress, wire::LinkId> query_links_;
   std::function<void(TimePoint)> on_era_change_;
