--- a/src/core/spread/spread_control.cc
+++ b/src/core/spread/spread_control.cc
@@ -259,15 +259,14 @@
       now - freshness_.unconfirmed_since() >= settings_.query_platform_after;
   if (!view.is_reader && !needs_read) return;
   open_call_ = ++last_call_;
-  if (!MayWatch(now)) {
-    actions->push_back(ReadPlatform{open_call_});
-  } else if (in_force_ < platform_head_) {
+  const bool lags = MayWatch(now) && in_force_ < platform_head_;
+  if (lags) {
     const std::uint64_t first = in_force_.value() + 1;
     const std::uint64_t last =
         std::min(platform_head_.value(), first + kTicketsPerRead - 1);
     actions->push_back(ReadPlatformTickets{
         open_call_, base::TicketNumber(first), base::TicketNumber(last)});
-  } else if (needs_read) {
+  } else if (needs_read || !MayWatch(now)) {
     actions->push_back(ReadPlatform{open_call_});
   } else {
     actions->push_back(WatchPlatform{open_call_, in_force_});
--- a/tests/unit/spread/older_store_test.cc
+++ b/tests/unit/spread/older_store_test.cc
@@ -33,9 +33,9 @@
 
 constexpr std::size_t kSmallFleets[] = {12, 95};
 
-const auto kRuns = boost::unit_test::data::make(kRelaySeeds) *
-                   boost::unit_test::data::make(kFleets);
-const auto kSmallRuns = boost::unit_test::data::make(kRelaySeeds) *
+const auto all_runs = boost::unit_test::data::make(kRelaySeeds) *
+                      boost::unit_test::data::make(kFleets);
+const auto small_runs = boost::unit_test::data::make(kRelaySeeds) *
                         boost::unit_test::data::make(kSmallFleets);
 
 struct OlderStoreFleet : RelayFleet {
@@ -115,19 +115,19 @@
 BOOST_AUTO_TEST_SUITE(older_store)
 
 BOOST_DATA_TEST_CASE(change_after_the_return_is_in_force_whatever_its_revision,
-                     kRuns* boost::unit_test::data::make(kOtherWrites), seed,
+                     all_runs* boost::unit_test::data::make(kOtherWrites), seed,
                      nodes, other_writes) {
   OlderStoreFleet(seed, nodes).CheckOneLoss(other_writes);
 }
 
 BOOST_DATA_TEST_CASE(change_after_the_return_is_in_force_if_all_nodes_watch,
-                     kSmallRuns* boost::unit_test::data::make(kOtherWrites),
+                     small_runs* boost::unit_test::data::make(kOtherWrites),
                      seed, nodes, other_writes) {
   OlderStoreFleet(seed, nodes, true).CheckOneLoss(other_writes);
 }
 
 // A node that starts on the copy admits nothing by it while others know better.
-BOOST_DATA_TEST_CASE(node_that_starts_on_the_copy_takes_the_newer_one, kRuns,
+BOOST_DATA_TEST_CASE(node_that_starts_on_the_copy_takes_the_newer_one, all_runs,
                      seed, nodes) {
   OlderStoreFleet fleet(seed, nodes);
   fleet.FollowLost(1);
@@ -151,19 +151,19 @@
 constexpr int kServedMs[] = {100, 2000};
 
 BOOST_DATA_TEST_CASE(change_after_two_losses_within_seconds_is_in_force,
-                     kRuns* boost::unit_test::data::make(kServedMs), seed,
+                     all_runs* boost::unit_test::data::make(kServedMs), seed,
                      nodes, served) {
   OlderStoreFleet(seed, nodes).CheckTwoLosses(served * 1ms);
 }
 
 BOOST_DATA_TEST_CASE(change_after_two_losses_is_in_force_if_all_nodes_watch,
-                     kSmallRuns* boost::unit_test::data::make(kServedMs), seed,
+                     small_runs* boost::unit_test::data::make(kServedMs), seed,
                      nodes, served) {
   OlderStoreFleet(seed, nodes, true).CheckTwoLosses(served * 1ms);
 }
 
-BOOST_DATA_TEST_CASE(change_is_in_force_though_a_third_is_refused, kRuns, seed,
-                     nodes) {
+BOOST_DATA_TEST_CASE(change_is_in_force_though_a_third_is_refused, all_runs,
+                     seed, nodes) {
   OlderStoreFleet fleet(seed, nodes);
   fleet.store_cut = [](std::size_t n) { return n % 3 == 0; };
   fleet.FollowLost(1);
@@ -176,7 +176,7 @@
 }
 
 // The operator needs a while to write again what is lost. Valid keys work on.
-BOOST_DATA_TEST_CASE(nodes_stay_fresh_until_the_operator_writes_again, kRuns,
+BOOST_DATA_TEST_CASE(nodes_stay_fresh_until_the_operator_writes_again, all_runs,
                      seed, nodes) {
   OlderStoreFleet fleet(seed, nodes);
   fleet.FollowLost(1);
@@ -192,8 +192,8 @@
 }
 
 // Nobody remembers what was lost, so that the copy is all there is.
-BOOST_DATA_TEST_CASE(fleet_restarted_on_the_copy_works_and_follows, kRuns, seed,
-                     nodes) {
+BOOST_DATA_TEST_CASE(fleet_restarted_on_the_copy_works_and_follows, all_runs,
+                     seed, nodes) {
   OlderStoreFleet fleet(seed, nodes);
   fleet.FollowLost(seed % 3);
   fleet.Leave();
@@ -208,7 +208,7 @@
   fleet.RunFresh(kLongTime);
 }
 
-BOOST_DATA_TEST_CASE(store_serves_the_calls_after_its_return, kRuns, seed,
+BOOST_DATA_TEST_CASE(store_serves_the_calls_after_its_return, all_runs, seed,
                      nodes) {
   OlderStoreFleet fleet(seed, nodes);
   fleet.FollowLost(1);
