Leave: its start time counts, so that a late heartbeat brings nobody back

Cause: the adapter dropped the body of a leave, and with it the start time. The drain mark got the start time of the process before, so that the late heartbeat of the present one counted as that of a successor.

Change: the notice names the process by id and start time, as heartbeats do; one whose start time is not a whole number is not acknowledged. Event 508 logs the sender and the process known, which tells this cause from others. Marks have a class of their own (DrainMarks), several are kept, also in the entry.

One assertion of the codec tests reads the id from the notice's new field.

--- a/src/core/backend/backend_watch.cc
+++ b/src/core/backend/backend_watch.cc
@@ -33,17 +33,8 @@
          heartbeat.service == status_.service && heartbeat.born_ms == born_ms_;
 }
 
-bool BackendWatch::IsOlder(const Heartbeat& heartbeat) const {
-  return born_ms_ && heartbeat.born_ms && *heartbeat.born_ms < *born_ms_;
-}
-
-// A restarted process may reuse the id; only the start time tells them apart.
-bool BackendWatch::IsDraining(
-    const InstanceId& instance,
-    const std::optional<std::int64_t>& born_ms) const {
-  if (!drain_mark_ || drain_mark_->instance != instance) return false;
-  if (!drain_mark_->born_ms || !born_ms) return true;
-  return *born_ms <= *drain_mark_->born_ms;
+bool BackendWatch::IsOlder(const std::optional<std::int64_t>& born_ms) const {
+  return born_ms_ && born_ms && *born_ms < *born_ms_;
 }
 
 // A delayed heartbeat may arrive after its sender has exited and a new process
@@ -59,7 +50,7 @@
     Apply(heartbeat, now);
     return true;
   }
-  const bool older = IsOlder(heartbeat);
+  const bool older = IsOlder(heartbeat.born_ms);
   if (older && status_.state == BackendServerState::kReady) return false;
   const bool other_service = heartbeat.service != status_.service;
   if (older || (other_service && !heartbeat.draining)) {
@@ -85,8 +76,8 @@
   last_contact_ = now;
   probing_ = claim_.has_value();
   settings_hold_ = false;
-  if (heartbeat.draining) drain_mark_ = DrainMark{heartbeat.instance, born_ms_};
-  status_.state = IsDraining(heartbeat.instance, born_ms_)
+  if (heartbeat.draining) marks_.Add({heartbeat.instance, born_ms_});
+  status_.state = marks_.Covers(heartbeat.instance, born_ms_)
                       ? BackendServerState::kDraining
                       : BackendServerState::kReady;
 }
@@ -124,38 +115,45 @@
 }
 
 // The announcement names no service. Of a process that is not known, it counts
-// while no other process serves.
-void BackendWatch::OnLeave(const InstanceId& instance, base::TimePoint now) {
-  const bool same = status_.instance == instance;
-  const bool claimed = claim_ && claim_->instance == instance;
-  const bool current = same || claimed || status_.instance.empty() ||
+// while no other process serves. Without a start time it is of the process that
+// is known by the id.
+void BackendWatch::OnLeave(const DrainMark& notice, base::TimePoint now) {
+  const bool same = status_.instance == notice.instance;
+  const bool claimed = claim_ && claim_->instance == notice.instance;
+  DrainMark mark = notice;
+  if (!mark.born_ms && same) mark.born_ms = born_ms_;
+  if (!mark.born_ms && claimed) mark.born_ms = claim_->born_ms;
+  const bool present = same || claimed || status_.instance.empty() ||
                        status_.state == BackendServerState::kGone;
-  if (!current) return;
+  if (!present) return;
+  marks_.Add(mark);
+  if (same && mark.born_ms != born_ms_) {
+    replaced_ = replaced_ || born_ms_.has_value();
+    sequence_ = 0;
+  }
   if (!same) {
-    born_ms_ = claimed ? claim_->born_ms : std::nullopt;
     sequence_ = claimed ? claim_->sequence : 0;
     if (claimed) status_.service = claim_->service;
   }
   claim_.reset();
-  drain_mark_ = DrainMark{instance, born_ms_};
-  status_.instance = instance;
+  born_ms_ = mark.born_ms;
+  status_.instance = mark.instance;
   status_.state = BackendServerState::kDraining;
   last_contact_ = now;
   probing_ = false;
 }
 
 void BackendWatch::OnDrainMark(const DrainMark& mark) {
-  if (drain_mark_) return;
-  drain_mark_ = mark;
-  if (!IsDraining(status_.instance, born_ms_)) return;
+  marks_.AddStored(mark);
+  if (!marks_.Covers(status_.instance, born_ms_)) return;
   status_.state = BackendServerState::kDraining;
 }
 
 // Health checks report the id but neither the start time nor the service. A
-// process with a drain mark therefore stays draining until a heartbeat reports
-// a later start time, and an id that no heartbeat has named may belong to
-// another service. Only the process that the settings describe is accepted by
-// its id alone, when it is found before the address was seen vacant.
+// process with a drain mark therefore stays draining until a heartbeat has
+// reported a later start time, and an id that no heartbeat has named may belong
+// to another service. Only the process that the settings describe is accepted
+// by its id alone, when it is found before the address was seen vacant.
 void BackendWatch::OnHealth(const HealthReport& report, base::TimePoint now) {
   if (!probing_) return;
   if (!report.answered) {
@@ -164,7 +162,7 @@
   }
   if (claim_ && ConfirmClaim(report, now)) return;
   if (!report.healthy || report.instance.empty()) return;
-  if (IsDraining(report.instance, std::nullopt)) return;
+  if (marks_.Covers(report.instance, std::nullopt)) return;
   if (status_.instance != report.instance) {
     if (!settings_hold_) return;
     status_.instance = report.instance;
--- a/src/core/backend/backend_watch.h
+++ b/src/core/backend/backend_watch.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "core/backend/backend_type.h"
+#include "core/backend/drain_marks.h"
 
 namespace dogwoodrail::core::backend {
 
@@ -48,8 +49,9 @@
   bool IsForeign(const Heartbeat& heartbeat) const;
   // Handles a heartbeat. Returns false if it is foreign or outdated.
   bool OnHeartbeat(const Heartbeat& heartbeat, base::TimePoint now);
-  // Handles a shutdown announcement of a backend server.
-  void OnLeave(const InstanceId& instance, base::TimePoint now);
+  // Handles a shutdown announcement of a backend server. Its start time may be
+  // missing.
+  void OnLeave(const DrainMark& notice, base::TimePoint now);
   // Restores a drain mark that was stored before this node restarted.
   void OnDrainMark(const DrainMark& mark);
   // Handles the result of a health check.
@@ -79,17 +81,18 @@
   }
   // Service of the VM, from the settings or a process found at the address.
   const base::ServiceName& own_service() const { return own_service_; }
-  // The process that announced its shutdown, if any.
-  const std::optional<DrainMark>& drain_mark() const { return drain_mark_; }
+  // The process that announced its shutdown last, if any.
+  const std::optional<DrainMark>& drain_mark() const { return marks_.latest(); }
+  // Start time of the process in status(), Unix ms. After a health check has
+  // found a process by its id alone, it is a lower bound.
+  const std::optional<std::int64_t>& born_ms() const { return born_ms_; }
 
  private:
-  // Returns true if drain_mark_ applies to the given process.
-  bool IsDraining(const InstanceId& instance,
-                  const std::optional<std::int64_t>& born_ms) const;
   // Returns true if the heartbeat is of the process in status_.
   bool IsCurrent(const Heartbeat& heartbeat) const;
-  // Returns true if the sender has started before the process in status_.
-  bool IsOlder(const Heartbeat& heartbeat) const;
+  // Returns true if a process that started then did so before the process in
+  // status_.
+  bool IsOlder(const std::optional<std::int64_t>& born_ms) const;
   // Takes the process and its state from a heartbeat.
   void Apply(const Heartbeat& heartbeat, base::TimePoint now);
   // Keeps a heartbeat until a health check finds its sender at the address.
@@ -110,7 +113,7 @@
   bool settings_hold_ = true;
   std::optional<std::int64_t> born_ms_;
   std::uint64_t sequence_ = 0;
-  std::optional<DrainMark> drain_mark_;
+  DrainMarks marks_;
   base::TimePoint last_contact_;
   base::TimePoint next_probe_at_;
   base::Duration probe_interval_;
--- a/src/core/base/event_table.cc
+++ b/src/core/base/event_table.cc
@@ -38,6 +38,7 @@
       {EventNumber::kBackendServerLeaving, "backend_server_leaving", EventLevel::kInfo, "a backend server is draining and gets no new work"},
       {EventNumber::kBackendServerLost, "backend_server_lost", EventLevel::kWarning, "the announcement of a backend server lapsed"},
       {EventNumber::kHeartbeatIgnored, "heartbeat_ignored", EventLevel::kInfo, "a heartbeat was outdated, of another backend server, or could not be read"},
+      {EventNumber::kBackendServerLeft, "backend_server_left", EventLevel::kInfo, "a process announced its shutdown; its id and start time, those of the process that was known beside this node, and whether that gets no new work are in the detail"},
       {EventNumber::kConfigurationInForce, "configuration_in_force", EventLevel::kInfo, "the configuration of a ticket is in force on this node"},
       {EventNumber::kConfigurationRefused, "configuration_refused", EventLevel::kError, "a configuration could not be read, or the store holds one that is older than the one in force, which is kept"},
       {EventNumber::kPlatformLost, "platform_lost", EventLevel::kWarning, "the Object API does not answer"},
--- a/src/core/base/event_type.h
+++ b/src/core/base/event_type.h
@@ -43,6 +43,7 @@
   kBackendServerLeaving = 505,
   kBackendServerLost = 506,
   kHeartbeatIgnored = 507,
+  kBackendServerLeft = 508,
   // 6xx configuration and platform
   kConfigurationInForce = 601,
   kConfigurationRefused = 602,
--- a/src/core/member/directory.cc
+++ b/src/core/member/directory.cc
@@ -49,7 +49,7 @@
 EntryMatch Directory::OnOwn(const std::optional<DirectoryEntry>& entry,
                             base::TimePoint now) {
   const bool outdated = EndCall(now);
-  if (entry && !own_.drained) own_.drained = entry->drained;
+  if (entry) RestoreMarks(*entry);
   const EntryMatch match = Compare(entry);
   if (outdated) return match;
   read_ = true;
@@ -58,11 +58,18 @@
   return match;
 }
 
+void Directory::RestoreMarks(const DirectoryEntry& entry) {
+  if (own_.drained) return;
+  own_.drained = entry.drained;
+  own_.drained_before = entry.drained_before;
+}
+
 EntryMatch Directory::Compare(
     const std::optional<DirectoryEntry>& entry) const {
   if (!entry) return EntryMatch::kMissing;
-  const bool same =
-      entry->address == own_.address && entry->drained == own_.drained;
+  const bool same = entry->address == own_.address &&
+                    entry->drained == own_.drained &&
+                    entry->drained_before == own_.drained_before;
   return same ? EntryMatch::kSame : EntryMatch::kDifferent;
 }
 
@@ -111,8 +118,23 @@
       base::RandomBelow(random_, static_cast<std::uint64_t>(spread.count()))));
 }
 
+// The process of the mark before may still stand at the address.
+void Directory::KeepMarkBefore(const backend::DrainMark& next) {
+  auto& before = own_.drained_before;
+  if (own_.drained) before.push_back(*own_.drained);
+  const auto is_replaced = [&next](const backend::DrainMark& it) {
+    return it.instance == next.instance;
+  };
+  before.erase(std::remove_if(before.begin(), before.end(), is_replaced),
+               before.end());
+  if (before.size() >= backend::DrainMarks::kMaxMarks) {
+    before.erase(before.begin());
+  }
+}
+
 void Directory::SetDrained(const backend::DrainMark& mark,
                            base::TimePoint now) {
+  KeepMarkBefore(mark);
   own_.drained = mark;
   marked_at_ = now;
   dirty_ = true;
--- a/src/core/member/directory.h
+++ b/src/core/member/directory.h
@@ -4,8 +4,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
-#include "core/backend/backend_type.h"
+#include "core/backend/drain_marks.h"
 #include "core/base/id_type.h"
 #include "core/base/random_type.h"
 #include "core/base/time_type.h"
@@ -17,6 +18,8 @@
 struct DirectoryEntry {
   base::NodeAddress address;
   std::optional<backend::DrainMark> drained;
+  // Marks before `drained`, of other ids; the oldest first.
+  std::vector<backend::DrainMark> drained_before{};
 };
 
 // Intervals of the directory calls.
@@ -102,6 +105,10 @@
   // Ends the call in progress. Returns true if the era has changed since its
   // start.
   bool EndCall(base::TimePoint now);
+  // Takes the marks of an entry if this process has set none.
+  void RestoreMarks(const DirectoryEntry& entry);
+  // Keeps the latest mark before it is replaced by that of another process.
+  void KeepMarkBefore(const backend::DrainMark& next);
   // Returns how an entry compares with this node's.
   EntryMatch Compare(const std::optional<DirectoryEntry>& entry) const;
   // Draws the delay after which the entry is verified.
--- a/src/node/backend_system.cc
+++ b/src/node/backend_system.cc
@@ -1,11 +1,13 @@
 #include "node/backend_system.h"
 
 #include <chrono>
+#include <string>
 #include <utility>
 
 namespace dogwoodrail::node {
 
 using core::backend::BackendStatus;
+using core::base::EventNumber;
 using core::base::Ran;
 using core::base::Reason;
 
@@ -18,6 +20,13 @@
 // Path of health checks if the configuration does not contain the service.
 constexpr const char* kDefaultHealthPath = "/healthz";
 
+// Returns the id and the start time of a process, for the event log.
+std::string ProcessText(const core::backend::InstanceId& instance,
+                        const std::optional<std::int64_t>& born_ms) {
+  if (instance.empty()) return "none";
+  return instance.value() + "@" + (born_ms ? std::to_string(*born_ms) : "?");
+}
+
 }  // namespace
 
 BackendSystem::BackendSystem(
@@ -39,15 +48,25 @@
 bool BackendSystem::OnHeartbeat(const core::backend::Heartbeat& heartbeat,
                                 TimePoint now) {
   const auto drained_before = watch_.drain_mark();
-  if (!watch_.OnHeartbeat(heartbeat, now)) return false;
+  const bool used = watch_.OnHeartbeat(heartbeat, now);
   ReportDrain(drained_before, now);
-  Announce(now);
-  return true;
+  if (used) Announce(now);
+  return used;
 }
 
 void BackendSystem::OnLeave(const LeaveNotice& notice, TimePoint now) {
   const auto drained_before = watch_.drain_mark();
-  watch_.OnLeave(notice.instance, now);
+  const std::string known =
+      ProcessText(watch_.status().instance, watch_.born_ms());
+  watch_.OnLeave(notice.process, now);
+  const bool draining =
+      watch_.status().state == core::base::BackendServerState::kDraining;
+  emit_({EventNumber::kBackendServerLeft,
+         {},
+         {},
+         "sender=" +
+             ProcessText(notice.process.instance, notice.process.born_ms) +
+             " known=" + known + " draining=" + (draining ? "1" : "0")});
   ReportDrain(drained_before, now);
   Announce(now);
 }
--- a/src/node/backend_system.h
+++ b/src/node/backend_system.h
@@ -28,7 +28,7 @@
   }
   // Handles a heartbeat; returns false if it is foreign or outdated.
   bool OnHeartbeat(const core::backend::Heartbeat& heartbeat, TimePoint now);
-  // Handles a notice that the backend server is leaving.
+  // Handles and logs a notice that the backend server is leaving.
   void OnLeave(const LeaveNotice& notice, TimePoint now);
   // Restores a drain mark that was stored before the node restarted.
   void OnDrainMark(const DrainMark& mark, TimePoint now);
--- a/src/node/directory_system.cc
+++ b/src/node/directory_system.cc
@@ -69,11 +69,17 @@
   const bool had_mark = directory_.own().drained.has_value();
   const EntryMatch match = directory_.OnOwn(entry, now);
   found_ = directory_.is_verifying() ? match : EntryMatch::kSame;
-  const auto& mark = directory_.own().drained;
-  if (!had_mark && mark && on_drain_mark_) on_drain_mark_(*mark);
+  if (!had_mark) RestoreMarks();
   Tick(now);
 }
 
+void DirectorySystem::RestoreMarks() {
+  const DirectoryEntry& own = directory_.own();
+  if (!own.drained || !on_drain_mark_) return;
+  on_drain_mark_(*own.drained);
+  for (const DrainMark& it : own.drained_before) on_drain_mark_(it);
+}
+
 void DirectorySystem::WriteOwn() {
   ports_.write_own_entry(directory_.own(), [this](const Result<void>& written) {
     if (!written) return OnFailed(written.error());
--- a/src/node/directory_system.h
+++ b/src/node/directory_system.h
@@ -33,7 +33,8 @@
   void StoreDrainMark(const DrainMark& mark, TimePoint now);
   // Returns whether the store has acknowledged the latest entry.
   bool is_written() const { return directory_.is_written(); }
-  // Sets the hook that is called with the drain mark read after a restart.
+  // Sets the hook that is called with each drain mark read after a restart, the
+  // latest first.
   void SetDrainMarkHook(std::function<void(const DrainMark&)> hook) {
     on_drain_mark_ = std::move(hook);
   }
@@ -42,6 +43,8 @@
   void CreateOwn();
   void ReadOwn();
   void OnOwn(const std::optional<core::member::DirectoryEntry>& entry);
+  // Passes on the drain marks of the entry read after a restart.
+  void RestoreMarks();
   void WriteOwn();
   // Logs that an entry lost with an era is there again.
   void ReportRewritten();
--- a/src/node/host_type.h
+++ b/src/node/host_type.h
@@ -34,9 +34,10 @@
   std::string name;
 };
 
-// Notice of the local backend server that it is leaving.
+// Notice of the local backend server that it is leaving; names the process. The
+// start time is missing if the notice has none.
 struct LeaveNotice {
-  core::backend::InstanceId instance;
+  core::backend::DrainMark process;
 };
 
 // Message of the backend server to its node; empty if it cannot be decoded.
--- a/tests/integration/platform/common/instance.cc
+++ b/tests/integration/platform/common/instance.cc
@@ -154,6 +154,16 @@
   heartbeat_delay_ = delay;
 }
 
+void PlatformInstance::KeepId() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  keeps_id_ = true;
+}
+
+InstanceIdentity PlatformInstance::identity() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return identity_;
+}
+
 void PlatformInstance::Drain() { draining_ = true; }
 
 void PlatformInstance::SetSilentCrash(bool silent) {
@@ -185,7 +195,6 @@
   draining_ = false;
   born_ms_ = UnixMillis();
   sequence_ = 0;
-  id_ = "i-" + std::to_string(spec_.port) + "-" + std::to_string(born_ms_);
   const tcp::endpoint address(asio::ip::address_v4::loopback(), spec_.port);
   acceptor_.open(address.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
@@ -195,6 +204,10 @@
   std::chrono::milliseconds delay{0};
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (!keeps_id_ || id_.empty()) {
+      id_ = "i-" + std::to_string(spec_.port) + "-" + std::to_string(born_ms_);
+    }
+    identity_ = {id_, born_ms_};
     if (!next_service_.empty()) spec_.service = std::move(next_service_);
     next_service_.clear();
     delay = heartbeat_delay_;
--- a/tests/integration/platform/common/instance.h
+++ b/tests/integration/platform/common/instance.h
@@ -48,6 +48,12 @@
 // Returns the answer to a request.
 using InstanceScript = std::function<InstanceAnswer(const InstanceRequest&)>;
 
+// Names a process of an instance.
+struct InstanceIdentity {
+  std::string id;
+  std::int64_t born_ms = 0;  // Unix ms
+};
+
 // Where an instance listens and reports.
 struct InstanceSpec {
   std::string service;
@@ -78,6 +84,10 @@
   void SetHeartbeatDelay(std::chrono::milliseconds delay);
   // Time from a crash to the next start.
   void SetDownTime(std::chrono::milliseconds time);
+  // Lets the next processes keep the id of the present one.
+  void KeepId();
+  // Id and start time, Unix ms, of the latest process.
+  InstanceIdentity identity();
   // Announces that the process is about to leave; it goes on serving.
   void Drain();
   // After a crash, connections stay open and silent in place of closing.
@@ -136,6 +146,8 @@
   std::chrono::milliseconds heartbeat_delay_{0};
   std::size_t crashes_ = 0;
   bool silent_crash_ = false;
+  bool keeps_id_ = false;
+  InstanceIdentity identity_;
 };
 
 }  // namespace dogwoodrail::integration
--- a/tests/unit/adapter/codec_test.cc
+++ b/tests/unit/adapter/codec_test.cc
@@ -114,6 +114,8 @@
                 R"({"service":"l","addr":"a","state":"ready"})",
                 R"({"service":7,"addr":"a","state":"ready","sequence":1})",
                 R"({"service":"l","addr":"a","state":"ready","sequence":-1})",
+                R"({"service":"l","addr":"a","state":"ready","sequence":1,)"
+                R"("born":"1700"})",
                 R"({"service":"l","state":"ready","sequence":1})"})) {
   const auto notice = ReadNotice(MakePost(heartbeat_path, sample));
   BOOST_TEST(std::holds_alternative<std::monostate>(notice));
@@ -138,7 +140,7 @@
       ReadNotice(MakePost("/dogwoodrail/instances/" + id + "/leave", ""));
   const auto* leave = std::get_if<node::LeaveNotice>(&notice);
   BOOST_REQUIRE(leave != nullptr);
-  BOOST_TEST(leave->instance.value() == id);
+  BOOST_TEST(leave->process.instance.value() == id);
 }
 
 BOOST_AUTO_TEST_CASE(body_that_is_not_utf_8_is_written_all_the_same) {
@@ -150,18 +152,42 @@
       ReadNotice(MakePost("/dogwoodrail/instances/i-7/leave", ""));
   const auto* leave = std::get_if<node::LeaveNotice>(&notice);
   BOOST_REQUIRE(leave != nullptr);
-  BOOST_TEST(leave->instance.value() == "i-7");
+  BOOST_TEST(leave->process.instance.value() == "i-7");
   BOOST_TEST(std::holds_alternative<std::monostate>(
       ReadNotice(MakePost("/dogwoodrail/instances/a/b/leave", ""))));
 }
 
+// The start time was dropped, so that a process could not be told from one
+// before it under the same id.
+BOOST_AUTO_TEST_CASE(leave_notice_contains_the_start_time) {
+  const char* path = "/dogwoodrail/instances/i-7/leave";
+  const auto notice = ReadNotice(MakePost(path, R"({"born":1700000000000})"));
+  const auto* leave = std::get_if<node::LeaveNotice>(&notice);
+  BOOST_REQUIRE(leave != nullptr);
+  BOOST_TEST(*leave->process.born_ms == 1700000000000);
+  const auto none = ReadNotice(MakePost(path, "{}"));
+  BOOST_REQUIRE(std::holds_alternative<node::LeaveNotice>(none));
+  BOOST_TEST(!std::get<node::LeaveNotice>(none).process.born_ms.has_value());
+}
+
+BOOST_DATA_TEST_CASE(malformed_leave_notice_is_ignored,
+                     data::make({"[", R"({"born":"1700"})", R"({"born":1.5})",
+                                 R"({"born":null})"})) {
+  const auto notice =
+      ReadNotice(MakePost("/dogwoodrail/instances/i-7/leave", sample));
+  BOOST_TEST(std::holds_alternative<std::monostate>(notice));
+}
+
 BOOST_AUTO_TEST_CASE(node_entry_round_trip) {
   core::member::DirectoryEntry entry;
   entry.address = core::base::NodeAddress("10.0.0.1:7000");
   entry.drained =
       core::backend::DrainMark{core::backend::InstanceId("i-7"), 1700};
+  entry.drained_before = {{core::backend::InstanceId("i-5"), std::nullopt},
+                          {core::backend::InstanceId("i-6"), 1600}};
   const auto read = DecodeNode(EncodeNode(entry));
   BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->drained_before == entry.drained_before));
   BOOST_TEST(read->address.value() == "10.0.0.1:7000");
   BOOST_TEST(read->drained->instance.value() == "i-7");
   BOOST_TEST(*read->drained->born_ms == 1700);
--- a/tests/unit/backend/watch_test.cc
+++ b/tests/unit/backend/watch_test.cc
@@ -96,9 +96,9 @@
 BOOST_AUTO_TEST_CASE(leave_message_starts_draining) {
   BackendWatch watch = MakeWatch();
   watch.OnHeartbeat(MakeHeartbeat("i-1", 1), At(seconds(1)));
-  watch.OnLeave(InstanceId("i-2"), At(seconds(2)));
+  watch.OnLeave({InstanceId("i-2"), std::nullopt}, At(seconds(2)));
   BOOST_TEST((watch.status().state == BackendServerState::kReady));
-  watch.OnLeave(InstanceId("i-1"), At(seconds(2)));
+  watch.OnLeave({InstanceId("i-1"), std::nullopt}, At(seconds(2)));
   BOOST_TEST((watch.status().state == BackendServerState::kDraining));
 }
 
@@ -248,7 +248,7 @@
   BackendWatch watch = MakeWatchOfTwoServices();
   watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 100), At(seconds(1)));
   watch.OnUnreachable(At(seconds(2)));
-  watch.OnLeave(InstanceId("i-2"), At(seconds(6)));
+  watch.OnLeave({InstanceId("i-2"), std::nullopt}, At(seconds(6)));
   watch.OnHeartbeat(MakeHeartbeatOfWages("i-2", 1, 200), At(seconds(7)));
   watch.OnHealth(MakeHealthy("i-2"), At(seconds(7)));
   BOOST_TEST((watch.status().state == BackendServerState::kDraining));
@@ -256,6 +256,53 @@
   BOOST_TEST((watch.status().state == BackendServerState::kDraining));
 }
 
+// Requests reached an instance after its shutdown had been acknowledged: it had
+// started again under its id, a health check had found it, and the heartbeat
+// with its start time came after its `leave`.
+BOOST_AUTO_TEST_CASE(left_process_stays_draining_when_its_heartbeat_is_late) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 7, 100), At(seconds(1)));
+  watch.OnUnreachable(At(seconds(2)));
+  watch.OnHealth(MakeHealthy("i-1"), At(seconds(3)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  watch.OnLeave({InstanceId("i-1"), 200}, At(seconds(4)));
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 200), At(seconds(6)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+  BOOST_TEST(watch.TakeReplaced());
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 201), At(seconds(7)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+}
+
+// A node that had started since did not know the start times either.
+BOOST_AUTO_TEST_CASE(left_process_stays_draining_after_node_restart) {
+  BackendWatch watch = MakeWatch();
+  watch.OnDrainMark({InstanceId("i-1"), 200});
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 200), At(seconds(1)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+}
+
+BOOST_AUTO_TEST_CASE(leave_without_a_start_time_is_of_the_known_process) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 3, 100), At(seconds(1)));
+  watch.OnLeave({InstanceId("i-1"), std::nullopt}, At(seconds(2)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 4, 100), At(seconds(3)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 200), At(seconds(4)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+}
+
+BOOST_AUTO_TEST_CASE(number_of_drain_marks_is_bounded) {
+  DrainMarks marks;
+  for (int n = 0; n < 6; ++n) {
+    BOOST_TEST(marks.Add({InstanceId("i-" + std::to_string(n)), 100}));
+  }
+  BOOST_TEST(!marks.Covers(InstanceId("i-1"), 100));
+  BOOST_TEST(marks.Covers(InstanceId("i-2"), 100));
+  BOOST_TEST(!marks.Add({InstanceId("i-5"), 90}));
+  BOOST_TEST(marks.latest()->instance.value() == "i-5");
+}
+
 BOOST_AUTO_TEST_CASE(draining_of_another_service_needs_no_health_check) {
   BackendWatch watch = MakeWatchOfTwoServices();
   watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 100), At(seconds(1)));
--- a/tests/unit/member/directory_test.cc
+++ b/tests/unit/member/directory_test.cc
@@ -256,6 +256,17 @@
   Expect(directory, DirectoryCall::kWriteOwn, At(seconds(1)));
 }
 
+BOOST_AUTO_TEST_CASE(marks_of_several_processes_are_kept) {
+  Directory directory = MakeSettled({self_address, MakeMark("i-1")});
+  for (const char* id : {"i-2", "i-1", "i-3", "i-4", "i-5", "i-6"}) {
+    directory.SetDrained(MakeMark(id), At(seconds(60)));
+  }
+  BOOST_TEST(directory.own().drained->instance.value() == "i-6");
+  const std::vector<backend::DrainMark> before = {
+      MakeMark("i-3"), MakeMark("i-4"), MakeMark("i-5")};
+  BOOST_TEST((directory.own().drained_before == before));
+}
+
 BOOST_AUTO_TEST_CASE(failed_calls_of_a_verification_are_retried_later) {
   Directory directory = MakeSettled({self_address, std::nullopt});
   directory.OnEraChanged(4, At(seconds(60)));
