Leave: one of an earlier process leaves its successor in use

Callers saw 503s and slow service: a server that had crashed, had started again and was ready by its own heartbeat got not one request more after the leave of the process before it came late. The same held for a late leave of another id while the address was being watched.

Cause: a leave ended the use of the address whoever was known to stand there; its start time was not compared with the one known. A health check after a lost connection was refused for the same reason, by a mark of an older start.

Change: an announcement of a process that started before the one known is remembered and changes nothing; so is a late heartbeat that says draining.

--- a/src/core/backend/backend_watch.cc
+++ b/src/core/backend/backend_watch.cc
@@ -51,7 +51,10 @@
     return true;
   }
   const bool older = IsOlder(heartbeat.born_ms);
-  if (older && status_.state == BackendServerState::kReady) return false;
+  if (older && status_.state == BackendServerState::kReady) {
+    if (heartbeat.draining) marks_.Add({heartbeat.instance, heartbeat.born_ms});
+    return false;
+  }
   const bool other_service = heartbeat.service != status_.service;
   if (older || (other_service && !heartbeat.draining)) {
     Claim(heartbeat, now);
@@ -114,9 +117,10 @@
   return false;
 }
 
-// The announcement names no service. Of a process that is not known, it counts
-// while no other process serves. Without a start time it is of the process that
-// is known by the id.
+// The announcement names no service. Every one is remembered, because the first
+// heartbeat of its sender may come later. It ends the use of the address unless
+// another process serves there, or one that has started since, maybe under the
+// same id. Without a start time it is of the process that is known by the id.
 void BackendWatch::OnLeave(const DrainMark& notice, base::TimePoint now) {
   const bool same = status_.instance == notice.instance;
   const bool claimed = claim_ && claim_->instance == notice.instance;
@@ -127,6 +131,7 @@
                        status_.state == BackendServerState::kGone;
   if (!present) return;
   marks_.Add(mark);
+  if (IsOlder(mark.born_ms)) return;
   if (same && mark.born_ms != born_ms_) {
     replaced_ = replaced_ || born_ms_.has_value();
     sequence_ = 0;
@@ -162,8 +167,9 @@
   }
   if (claim_ && ConfirmClaim(report, now)) return;
   if (!report.healthy || report.instance.empty()) return;
-  if (marks_.Covers(report.instance, std::nullopt)) return;
-  if (status_.instance != report.instance) {
+  const bool same = status_.instance == report.instance;
+  if (marks_.Covers(report.instance, same ? born_ms_ : std::nullopt)) return;
+  if (!same) {
     if (!settings_hold_) return;
     status_.instance = report.instance;
     born_ms_.reset();
--- a/tests/integration/platform/leave_test.cc
+++ b/tests/integration/platform/leave_test.cc
@@ -107,6 +107,29 @@
   BOOST_TEST(!it.IsUsed("/read/restarted"));
 }
 
+// An instance that had started again got no request any more, because the
+// `leave` of the process before it came late.
+BOOST_AUTO_TEST_CASE(late_leave_leaves_the_successor_in_use) {
+  LeaveFixture it("leave_late_leave");
+  it.StartAgain(milliseconds(0));
+  BOOST_TEST(!it.fleet.WaitLogLine(0, " 504 ", it.first.id).empty());
+  std::this_thread::sleep_for(seconds(1));  // its own heartbeat has come
+  BOOST_TEST(it.PostLeave(it.first) == kOk);
+  BOOST_TEST(it.IsUsed("/read/after"));
+  std::this_thread::sleep_for(kDrainTime);
+  BOOST_TEST(it.IsUsed("/read/later"));
+  BOOST_TEST(!it.fleet.WaitLogLine(0, " 508 ", "draining=0").empty());
+}
+
+// The same for a late heartbeat that reports `draining`.
+BOOST_AUTO_TEST_CASE(late_draining_heartbeat_leaves_the_successor_in_use) {
+  LeaveFixture it("leave_late_draining");
+  it.StartAgain(milliseconds(0));
+  std::this_thread::sleep_for(seconds(1));
+  BOOST_TEST(it.PostHeartbeat(it.first, "draining", 1000) == kOk);
+  BOOST_TEST(it.IsUsed("/read/after"));
+}
+
 BOOST_AUTO_TEST_CASE(leave_with_an_odd_start_time_is_not_acknowledged) {
   LeaveFixture it("leave_odd");
   BOOST_TEST(it.Post(it.first, "/leave", R"({"born":"1700"})") == 400);
--- a/tests/unit/backend/watch_test.cc
+++ b/tests/unit/backend/watch_test.cc
@@ -281,6 +281,43 @@
   BOOST_TEST((watch.status().state == BackendServerState::kDraining));
 }
 
+// A successor got no request any more, because the shutdown of the process
+// before it was announced late.
+BOOST_AUTO_TEST_CASE(late_leave_of_an_earlier_process_changes_nothing) {
+  for (const char* id : {"i-1", "i-2"}) {
+    BackendWatch watch = MakeWatch();
+    watch.OnHeartbeat(MakeHeartbeat("i-2", 1, 200), At(seconds(2)));
+    watch.OnLeave({InstanceId(id), 100}, At(seconds(3)));
+    BOOST_TEST((watch.status().state == BackendServerState::kReady));
+    watch.OnHeartbeat(MakeHeartbeat("i-2", 2, 200), At(seconds(4)));
+    BOOST_TEST((watch.status().state == BackendServerState::kReady));
+    watch.OnUnreachable(At(seconds(5)));
+    watch.OnHealth(MakeHealthy("i-2"), At(seconds(6)));
+    BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(late_draining_heartbeat_of_an_earlier_process_is_kept) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-2", 1, 200), At(seconds(2)));
+  Heartbeat late = MakeHeartbeat("i-1", 9, 100);
+  late.draining = true;
+  BOOST_TEST(!watch.OnHeartbeat(late, At(seconds(3))));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  BOOST_TEST(watch.drain_mark()->instance.value() == "i-1");
+}
+
+BOOST_AUTO_TEST_CASE(starts_a_millisecond_apart_are_told_apart) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 3, 100), At(seconds(1)));
+  watch.OnLeave({InstanceId("i-1"), 100}, At(seconds(1)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 101), At(seconds(1)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  watch.OnLeave({InstanceId("i-1"), 100}, At(seconds(1)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+}
+
 BOOST_AUTO_TEST_CASE(leave_without_a_start_time_is_of_the_known_process) {
   BackendWatch watch = MakeWatch();
   watch.OnHeartbeat(MakeHeartbeat("i-1", 3, 100), At(seconds(1)));
