Leave: one of a process that is not known yet is remembered

A leave of an id that the node did not know was acknowledged and forgotten while it took another process for ready; a heartbeat of its sender that came later made it ready again, against the acknowledgement (DRAIN).

Before: unit_backend leave_of_an_unknown_process_holds_for_its_late_heartbeat failed. After: all of unit_backend pass.

--- a/src/core/backend/backend_watch.cc
+++ b/src/core/backend/backend_watch.cc
@@ -127,11 +127,10 @@
   DrainMark mark = notice;
   if (!mark.born_ms && same) mark.born_ms = born_ms_;
   if (!mark.born_ms && claimed) mark.born_ms = claim_->born_ms;
+  marks_.Add(mark);
   const bool present = same || claimed || status_.instance.empty() ||
                        status_.state == BackendServerState::kGone;
-  if (!present) return;
-  marks_.Add(mark);
-  if (IsOlder(mark.born_ms)) return;
+  if (!present || IsOlder(mark.born_ms)) return;
   if (same && mark.born_ms != born_ms_) {
     replaced_ = replaced_ || born_ms_.has_value();
     sequence_ = 0;
--- a/tests/unit/backend/watch_test.cc
+++ b/tests/unit/backend/watch_test.cc
@@ -307,6 +307,27 @@
   BOOST_TEST(watch.drain_mark()->instance.value() == "i-1");
 }
 
+// Its acknowledged shutdown was forgotten while the node took the process
+// before it for the present one.
+BOOST_AUTO_TEST_CASE(leave_of_an_unknown_process_holds_for_its_late_heartbeat) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-1", 5, 100), At(seconds(1)));
+  watch.OnLeave({InstanceId("i-2"), 200}, At(seconds(2)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  watch.OnHeartbeat(MakeHeartbeat("i-2", 1, 200), At(seconds(3)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+}
+
+// The mark of the present process is kept when others are added.
+BOOST_AUTO_TEST_CASE(leave_of_another_process_lifts_no_mark) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-2", 1, 200), At(seconds(1)));
+  watch.OnLeave({InstanceId("i-2"), 200}, At(seconds(2)));
+  watch.OnLeave({InstanceId("i-1"), 100}, At(seconds(2)));
+  watch.OnHeartbeat(MakeHeartbeat("i-2", 2, 200), At(seconds(3)));
+  BOOST_TEST((watch.status().state == BackendServerState::kDraining));
+}
+
 BOOST_AUTO_TEST_CASE(starts_a_millisecond_apart_are_told_apart) {
   BackendWatch watch = MakeWatch();
   watch.OnHeartbeat(MakeHeartbeat("i-1", 3, 100), At(seconds(1)));
