Poison requests: an operator can lift a block by hand

A block that outlives the nodes can no longer be ended by starting them anew, and had no other way out than its ten minutes.

Change: POST /v1/poison/release at the operator endpoint of any node clears what is known against a fingerprint, on all nodes and in the store, as a completion does.

--- a/src/core/poison/poison_type.h
+++ b/src/core/poison/poison_type.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,10 @@
 
 // Returns the fingerprint as 32 hex digits.
 std::string FingerprintText(const Fingerprint& fingerprint);
+// Parses 32 hex digits.
+std::optional<Fingerprint> ParseFingerprint(std::string_view text);
+// Parses 16 hex digits.
+std::optional<std::uint64_t> ParseHexNumber(std::string_view text);
 
 // Digest of a text. Callers of the node must not be able to construct two texts
 // with the same digest.
--- a/src/node/operator_api.cc
+++ b/src/node/operator_api.cc
@@ -135,6 +135,7 @@
   if (path == "/ready") return Ready();
   if (path == "/metrics") return MetricsText();
   if (path == "/v1/announce") return Announce(request);
+  if (path == "/v1/poison/release") return ReleasePoison(request);
   for (const Path& it : paths_) {
     if (it.path == path) return it.handler(request);
   }
@@ -203,4 +204,21 @@
   });
 }
 
+Response OperatorApi::ReleasePoison(const Request& request) {
+  if (request.method != "POST") {
+    return MakeTextResponse(405, kTextType, "use POST\n");
+  }
+  const auto fingerprint = core::poison::ParseFingerprint(request.body);
+  if (!fingerprint) {
+    return MakeTextResponse(400, kTextType, "body: not a fingerprint\n");
+  }
+  return RunOnLoop([this, fingerprint = *fingerprint] {
+    const std::size_t records =
+        node_.poison().Release(fingerprint, Node::Now());
+    return MakeTextResponse(
+        records > 0 ? 200 : 404, kTextType,
+        "crashes lifted: " + std::to_string(records) + "\n");
+  });
+}
+
 }  // namespace dogwoodrail::node
--- a/src/node/operator_api.h
+++ b/src/node/operator_api.h
@@ -35,6 +35,8 @@
   http::Response Ready();
   http::Response MetricsText();
   http::Response Announce(const http::Request& request);
+  // Lifts the block of a poison request, which the body names by fingerprint.
+  http::Response ReleasePoison(const http::Request& request);
   // Runs a task on the event loop; a 503 response if it does not finish in
   // time.
   http::Response RunOnLoop(std::function<http::Response()> task);
--- a/src/node/poison_system.cc
+++ b/src/node/poison_system.cc
@@ -92,11 +92,17 @@
   const poison::ExecutionEnd end = EndOf(outcome);
   gate_.OnFinished(GateCallId(execution.index), end, now);
   if (end != poison::ExecutionEnd::kAnswered) return;
-  for (const auto& id :
-       crashes_.OnCompleted(execution.message.fingerprint, now)) {
+  Release(execution.message.fingerprint, now);
+}
+
+std::size_t PoisonSystem::Release(const poison::Fingerprint& fingerprint,
+                                  TimePoint now) {
+  const auto changed = crashes_.OnCompleted(fingerprint, now);
+  for (const poison::CrashId& id : changed) {
     spread_.Queue(id, poison::CrashSpread::Change::kCleared);
     if (on_cleared_) on_cleared_(id);
   }
+  return changed.size();
 }
 
 void PoisonSystem::OnProcessEnded(TimePoint now) { gate_.OnProcessEnded(now); }
--- a/src/node/poison_system.h
+++ b/src/node/poison_system.h
@@ -48,6 +48,10 @@
   // Records the end of an execution.
   void OnFinished(const Execution& execution,
                   const http::BackendOutcome& outcome, TimePoint now);
+  // Lifts what is known against a request, on all nodes. Returns the number of
+  // crash records that counted against it.
+  std::size_t Release(const core::poison::Fingerprint& fingerprint,
+                      TimePoint now);
   // Called when the process of the backend server is known to have ended.
   void OnProcessEnded(TimePoint now);
   // Called at the entry of a request whose serving node was lost after it may
--- a/tests/integration/platform/common/fleet.cc
+++ b/tests/integration/platform/common/fleet.cc
@@ -46,6 +46,15 @@
          R"(","health_path":"/healthz"}]})";
 }
 
+RawResponse Post(std::uint16_t port, const std::string& path,
+                 const std::string& body) {
+  RawRequest request;
+  request.method = "POST";
+  request.target = path;
+  request.body = body;
+  return SendRequest(port, request, kCallTimeout);
+}
+
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
   std::ostringstream text;
@@ -233,13 +242,14 @@
   return SendRequest(vms_.at(it).operator_port, request, kCallTimeout).body;
 }
 
+RawResponse PlatformFleet::PostOperator(std::size_t it, const std::string& path,
+                                        const std::string& body) const {
+  return Post(vms_.at(it).operator_port, path, body);
+}
+
 RawResponse PlatformFleet::PostControl(std::size_t it, const std::string& path,
                                        const std::string& body) const {
-  RawRequest request;
-  request.method = "POST";
-  request.target = path;
-  request.body = body;
-  return SendRequest(vms_.at(it).control_port, request, kCallTimeout);
+  return Post(vms_.at(it).control_port, path, body);
 }
 
 }  // namespace dogwoodrail::integration
--- a/tests/integration/platform/common/fleet.h
+++ b/tests/integration/platform/common/fleet.h
@@ -74,6 +74,9 @@
   double Metric(std::size_t it, const std::string& name) const;
   // Returns the time line of a node.
   std::string Timeline(std::size_t it, const std::string& query) const;
+  // Posts a body to a path of the operator address of a node.
+  RawResponse PostOperator(std::size_t it, const std::string& path,
+                           const std::string& body) const;
   // Posts a body to a path of the control address of a node.
   RawResponse PostControl(std::size_t it, const std::string& path,
                           const std::string& body) const;
--- a/tests/integration/platform/crash_request_test.cc
+++ b/tests/integration/platform/crash_request_test.cc
@@ -141,6 +141,37 @@
   BOOST_TEST(fleet.Send(0, "POST", target, "same body").status == 503);
 }
 
+// A service has been mended: an operator lifts the block, on all nodes and for
+// those that start later.
+BOOST_AUTO_TEST_CASE(block_is_lifted_by_hand) {
+  PlatformFleet fleet("crash_release", services);
+  const std::string target = "/write/crash";
+  for (int it = 0; it < 3; ++it) {
+    fleet.Send(it, "POST", target, "same body");
+    std::this_thread::sleep_for(kSendInterval);
+  }
+  BOOST_TEST(fleet.Send(3, "POST", target, "same body").status == 503);
+  const std::string line = fleet.WaitLogLine(3, " 702 ", "fingerprint=");
+  constexpr std::size_t kDigits = 32;
+  const std::string mark = "fingerprint=";
+  const std::string fingerprint =
+      line.substr(line.find(mark) + mark.size(), kDigits);
+  const char* path = "/v1/poison/release";
+  BOOST_TEST(fleet.PostOperator(0, path, "x").status == 400);
+  BOOST_TEST(fleet.PostOperator(0, path, std::string(kDigits, '0')).status ==
+             404);
+  BOOST_TEST(fleet.PostOperator(0, path, fingerprint).status == 200);
+  const auto is_blocked = [&fleet](std::size_t it) {
+    return fleet.Metric(it, "dogwoodrail_poison_blocked") != 0;
+  };
+  BOOST_TEST(WaitUntil(kStableTime, [&] {
+    return !is_blocked(0) && !is_blocked(1) && !is_blocked(2) && !is_blocked(3);
+  }));
+  std::this_thread::sleep_for(milliseconds(500));
+  RestartAllNodes(fleet);
+  BOOST_TEST(fleet.Metric(0, "dogwoodrail_poison_suspects") == 0);
+}
+
 // The store is away at the crashes and comes back before the nodes end.
 BOOST_AUTO_TEST_CASE(block_is_kept_once_the_store_returns) {
   PlatformFleet fleet("crash_store_away", services);
--- a/tests/unit/adapter/codec_test.cc
+++ b/tests/unit/adapter/codec_test.cc
@@ -109,13 +109,14 @@
 
 BOOST_DATA_TEST_CASE(
     malformed_heartbeat_is_ignored,
-    data::make({"", "[", "[]", "7",
-                R"({"service":"l","addr":"a","state":"odd","sequence":1})",
-                R"({"service":"l","addr":"a","state":"ready"})",
-                R"({"service":7,"addr":"a","state":"ready","sequence":1})",
-                R"({"service":"l","addr":"a","state":"ready","sequence":-1})",
-                R"({"service":"l","addr":"a","state":"ready","born":"7","sequence":1})",
-                R"({"service":"l","state":"ready","sequence":1})"})) {
+    data::make(
+        {"", "[", "[]", "7",
+         R"({"service":"l","addr":"a","state":"odd","sequence":1})",
+         R"({"service":"l","addr":"a","state":"ready"})",
+         R"({"service":7,"addr":"a","state":"ready","sequence":1})",
+         R"({"service":"l","addr":"a","state":"ready","sequence":-1})",
+         R"({"service":"l","addr":"a","state":"ready","born":"7","sequence":1})",
+         R"({"service":"l","state":"ready","sequence":1})"})) {
   const auto notice = ReadNotice(MakePost(heartbeat_path, sample));
   BOOST_TEST(std::holds_alternative<std::monostate>(notice));
 }
