Soak: a withdrawn key runs nothing, checked while the run goes on

The soak plays the return of the store from an older copy, but looked at the configuration at its end only: a fleet that had missed a change and was healed by the next one passed.

Change: on the platform's adapter each version has a key of its own; one request in nine has a key that was withdrawn for more than 5 s, and must not run.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -11,6 +11,8 @@
 
 constexpr milliseconds kPause{15};
 constexpr milliseconds kReconnectPause{50};
+// One request in so many has a withdrawn key.
+constexpr std::size_t kWithdrawnOneIn = 9;
 // Longer than a route's timeout and a pause of the node.
 constexpr milliseconds kAnswerTimeout{10000};
 
@@ -45,6 +47,21 @@
   threads_.clear();
 }
 
+// The request is idempotent if the record says so, unless it has a withdrawn
+// key.
+integration::RawRequest Callers::MakeRequest(const std::string& name,
+                                             std::size_t number,
+                                             RequestRecord& record) {
+  if (fleet_.make_withdrawn_request && number % kWithdrawnOneIn == 0) {
+    if (auto request = fleet_.make_withdrawn_request(name)) {
+      record.withdrawn_key = true;
+      record.idempotent = false;
+      return std::move(*request);
+    }
+  }
+  return fleet_.make_request(record.idempotent, name);
+}
+
 // The connection stays open also after "Connection: close": it is the node that
 // closes it.
 void Callers::Run(std::size_t vm, std::size_t caller, std::uint16_t port) {
@@ -56,9 +73,10 @@
     RequestRecord record;
     record.vm = vm;
     record.idempotent = (caller + n) % 2 == 0;
-    const auto request = fleet_.make_request(
-        record.idempotent, std::to_string(vm) + "." + std::to_string(caller) +
-                               "." + std::to_string(n));
+    const auto request =
+        MakeRequest(std::to_string(vm) + "." + std::to_string(caller) + "." +
+                        std::to_string(n),
+                    n, record);
     record.target = request.target;
     record.started_at = clock_.Now();
     record.sent = connection->IsOpen() && connection->Send(request.Serialize());
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -40,6 +41,9 @@
 
  private:
   void Run(std::size_t vm, std::size_t caller, std::uint16_t port);
+  integration::RawRequest MakeRequest(const std::string& name,
+                                      std::size_t number,
+                                      RequestRecord& record);
 
   const SoakFleet& fleet_;
   const RunClock& clock_;
--- a/soak/checker.cc
+++ b/soak/checker.cc
@@ -79,6 +79,9 @@
     if (it.complete && it.not_run && count > 0) {
       add("a request answered as not run has not run");
     }
+    if (it.withdrawn_key && count > 0) {
+      add("a withdrawn key runs nothing");
+    }
     if (IsSuccess(it) && !it.right_body) {
       add("a 2xx is the whole right body");
     }
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -16,7 +16,8 @@
   std::string target;  // unique
   std::size_t vm = 0;  // whose node took it
   bool idempotent = false;
-  bool sent = false;  // the whole request was sent
+  bool withdrawn_key = false;  // its key was withdrawn long before
+  bool sent = false;           // the whole request was sent
   int status = 0;
   bool complete = false;    // status line and whole body
   bool not_run = false;     // the answer says that the request has not run
--- a/soak/platform_fleet.cc
+++ b/soak/platform_fleet.cc
@@ -1,5 +1,9 @@
+#include <chrono>
 #include <iterator>
+#include <map>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <utility>
 
 #include "soak/soak_fleet.h"
@@ -79,6 +83,47 @@
   return {true, {{kServiceTime, text, true}}};
 }
 
+// The keys of the versions of the configuration: each version has one of its
+// own, which the next takes away. Thread-safe.
+class VersionKeys {
+ public:
+  static std::string KeyOf(std::uint32_t version) {
+    return "soak-key-" + std::to_string(version);
+  }
+
+  // Handles the acknowledgement of a version.
+  void OnWritten(std::uint32_t version) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (std::uint32_t it = kFirstVersion; it < version; ++it) {
+      withdrawn_.emplace(it, Clock::now());
+    }
+  }
+  // Handles that the store has come back with an older version.
+  void OnLost(std::uint32_t version) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    withdrawn_.erase(withdrawn_.lower_bound(version), withdrawn_.end());
+  }
+  // Returns the latest key that no node may take any more.
+  std::optional<std::string> Withdrawn() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto limit = Clock::now() - kRevokeTime;
+    for (auto it = withdrawn_.rbegin(); it != withdrawn_.rend(); ++it) {
+      if (it->second <= limit) return KeyOf(it->first);
+    }
+    return std::nullopt;
+  }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  // The version before has no key of its own.
+  static constexpr std::uint32_t kFirstVersion = 2;
+  // RULES.md: time after which a withdrawn key is good nowhere.
+  static constexpr milliseconds kRevokeTime{5000};
+
+  mutable std::mutex mutex_;
+  std::map<std::uint32_t, Clock::time_point> withdrawn_;  // since when
+};
+
 // Plays the faults that this adapter alone can meet.
 class PlatformFaults {
  public:
@@ -116,6 +161,7 @@
     switch (step) {
       case StoreStep::kCopy:
         fleet_->store().TakeCopy();
+        copied_version_ = version_;
         ChangeConfig();
         // The change that follows may get the revision of this.
         return fleet_->store().Put("notes", "of-another-writer", "{}");
@@ -124,6 +170,7 @@
         return fleet_->store().GoAway();
       case StoreStep::kReturn:
         fleet_->store().RestoreCopy();
+        keys_.OnLost(copied_version_);
         fleet_->store().Return();
         away_ = false;
         return;
@@ -132,13 +179,29 @@
         return ChangeConfig();
     }
   }
+  // Makes a request with a key that no node may take any more, if there is one.
+  std::optional<integration::RawRequest> MakeWithdrawn(
+      const std::string& request) {
+    const auto key = keys_.Withdrawn();
+    if (!key) return std::nullopt;
+    auto message = fleet_->MakeRequest("POST", "/write/" + request, request);
+    for (auto& it : message.headers) {
+      if (it.name == "X-Api-Key") it.value = *key;
+    }
+    return message;
+  }
   bool Follows(std::size_t vm) const {
     return fleet_->Metric(vm, "dogwoodrail_configuration_number") == version_;
   }
 
  private:
   void PutConfig() {
-    fleet_->store().Put("config", "main", fleet_->ConfigText(version_));
+    std::string config = fleet_->ConfigText(version_);
+    const std::string list = "\"api_keys\":[";
+    config.insert(config.find(list) + list.size(),
+                  "\"" + VersionKeys::KeyOf(version_) + "\",");
+    fleet_->store().Put("config", "main", config);
+    keys_.OnWritten(version_);
   }
   void PutOddEntry() {
     const std::string name = "odd-" + std::to_string(odd_entries_);
@@ -148,7 +211,9 @@
   }
 
   std::shared_ptr<PlatformFleet> fleet_;
+  VersionKeys keys_;
   std::uint32_t version_ = 1;
+  std::uint32_t copied_version_ = 1;
   bool away_ = false;  // the store
   std::size_t odd_entries_ = 0;
 };
@@ -182,6 +247,9 @@
                ? fleet->MakeRequest("GET", "/read/" + request)
                : fleet->MakeRequest("POST", "/write/" + request, request);
   };
+  soak.make_withdrawn_request = [faults](const std::string& request) {
+    return faults->MakeWithdrawn(request);
+  };
   soak.make_crash_request = [fleet] {
     return fleet->MakeRequest("GET", kCrashTarget);
   };
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,10 @@
                                         const std::string& name)>
       make_request;
   std::function<integration::RawRequest()> make_crash_request;
+  // The same with a key that was withdrawn for longer than a node may take it;
+  // nothing if there is none. May be called from any thread.
+  std::function<std::optional<integration::RawRequest>(const std::string& name)>
+      make_withdrawn_request;
   std::function<ResponseFacts(const integration::RawResponse&,
                               const integration::RawRequest&)>
       judge;
--- a/tests/unit/soak/checker_test.cc
+++ b/tests/unit/soak/checker_test.cc
@@ -55,6 +55,17 @@
   BOOST_TEST(CountBroken(GoodRecord(), 1) == 0U);
 }
 
+// A check at the end of a run passed over a fleet that had missed a change and
+// was healed by the next one.
+BOOST_AUTO_TEST_CASE(a_run_with_a_withdrawn_key_is_found) {
+  RequestRecord record = GoodRecord();
+  record.withdrawn_key = true;
+  BOOST_TEST(CountBroken(record, 1) == 1U);
+  record.status = 401;
+  record.right_body = false;
+  BOOST_TEST(CountBroken(record, 0) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_answer_is_found) {
   BOOST_TEST(CountBroken(ClosedRecord(kShort), 1) == 1U);
   BOOST_TEST(CountBroken(ClosedRecord(kLong), 0) == 1U);
