Leave: a health check decides when the start time is earlier than the known one

Found by reading the diff: since a leave with an earlier start time than that of the ready process counted as one of a process before, a process whose start time had stepped back, under the id of its predecessor, was acknowledged and went on getting requests (DRAIN).

Change: if such an announcement names the id of the ready process, nothing is sent there until a health check, made at once, or a heartbeat of the process known shows that the sender is another one. A process that leaves refuses health checks.

unit_backend: leaving_process_is_not_used_though_its_clock_stepped_back and successor_under_the_same_id_is_soon_used_again are new; the case of late_leave_of_an_earlier_process_changes_nothing with the same id moved to the second, which checks it against both ways of the decision, in place of at once. The log line that integration_platform:leave looked for says draining=1 now, so that it looks for the sender.

--- a/src/core/backend/backend_watch.cc
+++ b/src/core/backend/backend_watch.cc
@@ -52,8 +52,9 @@
   }
   const bool older = IsOlder(heartbeat.born_ms);
   if (older && status_.state == BackendServerState::kReady) {
-    if (heartbeat.draining) marks_.Add({heartbeat.instance, heartbeat.born_ms});
-    return false;
+    if (!heartbeat.draining) return false;
+    marks_.Add({heartbeat.instance, heartbeat.born_ms});
+    return DoubtReadiness(heartbeat.instance, now);
   }
   const bool other_service = heartbeat.service != status_.service;
   if (older || (other_service && !heartbeat.draining)) {
@@ -119,8 +120,8 @@
 
 // The announcement names no service. Every one is remembered, because the first
 // heartbeat of its sender may come later. It ends the use of the address unless
-// another process serves there, or one that has started since, maybe under the
-// same id. Without a start time it is of the process that is known by the id.
+// another process serves there, or one that has started since. Without a start
+// time it is of the process that is known by the id.
 void BackendWatch::OnLeave(const DrainMark& notice, base::TimePoint now) {
   const bool same = status_.instance == notice.instance;
   const bool claimed = claim_ && claim_->instance == notice.instance;
@@ -130,7 +131,11 @@
   marks_.Add(mark);
   const bool present = same || claimed || status_.instance.empty() ||
                        status_.state == BackendServerState::kGone;
-  if (!present || IsOlder(mark.born_ms)) return;
+  if (!present) return;
+  if (IsOlder(mark.born_ms)) {
+    DoubtReadiness(mark.instance, now);
+    return;
+  }
   if (same && mark.born_ms != born_ms_) {
     replaced_ = replaced_ || born_ms_.has_value();
     sequence_ = 0;
@@ -147,6 +152,18 @@
   probing_ = false;
 }
 
+// The sender is one of before, unless the time of day has stepped back between
+// its start and that of the process known by the same id. A health check is
+// refused by a process that leaves.
+bool BackendWatch::DoubtReadiness(const InstanceId& instance,
+                                  base::TimePoint now) {
+  const bool ready = status_.state == BackendServerState::kReady;
+  if (!ready || instance != status_.instance) return false;
+  status_.state = BackendServerState::kDraining;
+  StartProbing(now);
+  return true;
+}
+
 void BackendWatch::OnDrainMark(const DrainMark& mark) {
   marks_.AddStored(mark);
   if (!marks_.Covers(status_.instance, born_ms_)) return;
--- a/src/core/backend/backend_watch.h
+++ b/src/core/backend/backend_watch.h
@@ -93,6 +93,10 @@
   // Returns true if a process that started then did so before the process in
   // status_.
   bool IsOlder(const std::optional<std::int64_t>& born_ms) const;
+  // Handles a shutdown announcement by an earlier start time than the one
+  // known: if its id is that of the ready process, a health check decides
+  // whether this is the sender. Returns true if the status has changed.
+  bool DoubtReadiness(const InstanceId& instance, base::TimePoint now);
   // Takes the process and its state from a heartbeat.
   void Apply(const Heartbeat& heartbeat, base::TimePoint now);
   // Keeps a heartbeat until a health check finds its sender at the address.
--- a/tests/integration/platform/leave_test.cc
+++ b/tests/integration/platform/leave_test.cc
@@ -118,7 +118,8 @@
   BOOST_TEST(it.IsUsed("/read/after"));
   std::this_thread::sleep_for(kDrainTime);
   BOOST_TEST(it.IsUsed("/read/later"));
-  BOOST_TEST(!it.fleet.WaitLogLine(0, " 508 ", "draining=0").empty());
+  const std::string sender = "@" + std::to_string(it.first.born_ms) + " ";
+  BOOST_TEST(!it.fleet.WaitLogLine(0, " 508 ", sender).empty());
 }
 
 // The same for a late heartbeat that reports `draining`.
--- a/tests/unit/backend/watch_test.cc
+++ b/tests/unit/backend/watch_test.cc
@@ -284,16 +284,67 @@
 // A successor got no request any more, because the shutdown of the process
 // before it was announced late.
 BOOST_AUTO_TEST_CASE(late_leave_of_an_earlier_process_changes_nothing) {
-  for (const char* id : {"i-1", "i-2"}) {
+  BackendWatch watch = MakeWatch();
+  watch.OnHeartbeat(MakeHeartbeat("i-2", 1, 200), At(seconds(2)));
+  watch.OnLeave({InstanceId("i-1"), 100}, At(seconds(3)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+  watch.OnHeartbeat(MakeHeartbeat("i-2", 2, 200), At(seconds(4)));
+  BOOST_TEST((watch.status().state == BackendServerState::kReady));
+}
+
+// Under the same id, a health check decides at once; so does a heartbeat.
+BOOST_AUTO_TEST_CASE(successor_under_the_same_id_is_soon_used_again) {
+  for (const bool draining_heartbeat : {false, true}) {
+    for (const bool by_health : {false, true}) {
+      BackendWatch watch = MakeWatch();
+      watch.OnHeartbeat(MakeHeartbeat("i-2", 1, 200), At(seconds(2)));
+      if (draining_heartbeat) {
+        Heartbeat late = MakeHeartbeat("i-2", 9, 100);
+        late.draining = true;
+        watch.OnHeartbeat(late, At(seconds(3)));
+      } else {
+        watch.OnLeave({InstanceId("i-2"), 100}, At(seconds(3)));
+      }
+      BOOST_TEST(watch.StartProbeIfDue(At(seconds(3))));
+      if (by_health) {
+        watch.OnHealth(MakeHealthy("i-2"), At(seconds(3)));
+      } else {
+        watch.OnHeartbeat(MakeHeartbeat("i-2", 2, 200), At(seconds(4)));
+      }
+      BOOST_TEST((watch.status().state == BackendServerState::kReady));
+      watch.OnUnreachable(At(seconds(5)));
+      watch.OnHealth(MakeHealthy("i-2"), At(seconds(6)));
+      BOOST_TEST((watch.status().state == BackendServerState::kReady));
+    }
+  }
+}
+
+// Requests reached an instance after its acknowledged draining: it had started
+// again under its id after the time of day had stepped back, so that its start
+// time was earlier than the one known.
+BOOST_AUTO_TEST_CASE(
+    leaving_process_is_not_used_though_its_clock_stepped_back) {
+  for (const bool draining_heartbeat : {false, true}) {
     BackendWatch watch = MakeWatch();
-    watch.OnHeartbeat(MakeHeartbeat("i-2", 1, 200), At(seconds(2)));
-    watch.OnLeave({InstanceId(id), 100}, At(seconds(3)));
-    BOOST_TEST((watch.status().state == BackendServerState::kReady));
-    watch.OnHeartbeat(MakeHeartbeat("i-2", 2, 200), At(seconds(4)));
-    BOOST_TEST((watch.status().state == BackendServerState::kReady));
-    watch.OnUnreachable(At(seconds(5)));
-    watch.OnHealth(MakeHealthy("i-2"), At(seconds(6)));
+    watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 300), At(seconds(1)));
+    watch.OnUnreachable(At(seconds(2)));
+    watch.OnHealth(MakeHealthy("i-1"), At(seconds(3)));
     BOOST_TEST((watch.status().state == BackendServerState::kReady));
+    Heartbeat draining = MakeHeartbeat("i-1", 4, 200);
+    draining.draining = true;
+    if (draining_heartbeat) {
+      BOOST_TEST(watch.OnHeartbeat(draining, At(seconds(4))));
+    } else {
+      watch.OnLeave({InstanceId("i-1"), 200}, At(seconds(4)));
+    }
+    BOOST_TEST((watch.status().state != BackendServerState::kReady));
+    BOOST_TEST(watch.StartProbeIfDue(At(seconds(4))));
+    HealthReport refused = MakeHealthy("i-1");
+    refused.healthy = false;
+    watch.OnHealth(refused, At(seconds(4)));
+    watch.OnHeartbeat(MakeHeartbeat("i-1", 3, 200), At(seconds(5)));
+    watch.OnHealth(refused, At(seconds(5)));
+    BOOST_TEST((watch.status().state != BackendServerState::kReady));
   }
 }
 
@@ -336,6 +387,7 @@
   watch.OnHeartbeat(MakeHeartbeat("i-1", 1, 101), At(seconds(1)));
   BOOST_TEST((watch.status().state == BackendServerState::kReady));
   watch.OnLeave({InstanceId("i-1"), 100}, At(seconds(1)));
+  watch.OnHealth(MakeHealthy("i-1"), At(seconds(1)));
   BOOST_TEST((watch.status().state == BackendServerState::kReady));
 }
 
